--- a/src/cli/log.rs
+++ b/src/cli/log.rs
@@ -1,8 +1,13 @@
 //! Log lines of the daemon: time, level and a short sentence, on the standard error stream.
 
+use std::num::NonZeroUsize;
+
 use spdlog::formatter::{PatternFormatter, pattern};
-use spdlog::sink::{Sink, StdStream, StdStreamSink};
-use spdlog::{Level, LevelFilter, Logger};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger, ThreadPool};
+
+/// Lines that wait to be written at most.
+const QUEUE: NonZeroUsize = NonZeroUsize::new(2048).unwrap();
 
 /// Writes log lines of a level and those more severe from now on.
 ///
@@ -23,3 +28,34 @@
     spdlog::set_default_logger(logger);
     Ok(())
 }
+
+/// Writes log lines to the standard output from a thread of its own; lines are dropped while it is behind.
+///
+/// # Errors
+/// When the log cannot be set up.
+pub fn open_stdout(level: Level) -> spdlog::Result<()> {
+    let line = pattern!("{date}T{time}.{millisecond} {level} {payload}{eol}");
+    let out = StdStreamSink::builder()
+        .std_stream(StdStream::Stdout)
+        .formatter(PatternFormatter::new(line))
+        .build_arc()?;
+    let queue = ThreadPool::builder().capacity(QUEUE).build_arc()?;
+    let sink = AsyncPoolSink::builder()
+        .sink(out)
+        .thread_pool(queue)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .build_arc()?;
+    let sink: std::sync::Arc<dyn Sink> = sink;
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .flush_level_filter(LevelFilter::All)
+        .build_arc()?;
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
+
+/// Changes the least severe level that is written.
+pub fn set_level(level: Level) {
+    spdlog::default_logger().set_level_filter(LevelFilter::MoreSevereEqual(level));
+}
--- /dev/null
+++ b/src/coordination/allowance.rs
@@ -0,0 +1,138 @@
+//! One daemon's part of a workspace's fleet-wide rate, with transfers between daemons.
+//!
+//! Each daemon refills an equal part of rate and burst on its own. A daemon that runs short is given units by others,
+//! which take them from their own level first. A lost transfer is lost for both, so all levels together never exceed
+//! the workspace's burst, whatever is cut off from what.
+
+use std::time::Duration;
+
+/// Time over which demand is averaged.
+const AVERAGE: Duration = Duration::from_secs(1);
+
+/// Demand that a daemon wants to be covered ahead, about three heartbeats.
+const HORIZON: Duration = Duration::from_millis(1500);
+
+/// Units of a new part: enough to admit one request.
+const FIRST_UNITS: f64 = 1.0;
+
+/// Share of its own burst that a daemon does not give away.
+const KEPT_SHARE: f64 = 0.25;
+
+/// A workspace's rate limit over the whole fleet, and the daemons over which it is divided.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Terms {
+    /// Units per second.
+    pub rate: f64,
+    /// Capacity in units.
+    pub burst: f64,
+    /// Daemons that have an equal part.
+    pub daemons: usize,
+}
+
+/// One daemon's part.
+///
+/// ```
+/// use std::time::Duration;
+/// use persimmoncroft::coordination::allowance::{Allowance, Terms};
+/// let second = Duration::from_secs(1);
+/// let terms = Terms { rate: 80.0, burst: 80.0, daemons: 8 };
+/// let mut allowance = Allowance::open(terms, Duration::ZERO);
+/// assert!(allowance.take(4.0, second).is_ok());
+/// assert_eq!(allowance.level(second), 6.0);
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+pub struct Allowance {
+    terms: Terms,
+    level: f64,
+    at: Duration,
+    demand: f64,
+}
+
+impl Allowance {
+    /// Opens an empty part; it fills at its own rate, so a restarted daemon brings nothing twice.
+    pub fn open(terms: Terms, now: Duration) -> Self {
+        Self {
+            terms,
+            level: FIRST_UNITS,
+            at: now,
+            demand: 0.0,
+        }
+    }
+
+    /// Takes in new terms; a level above the new part is cut when the workspace's limit itself fell.
+    pub fn set(&mut self, terms: Terms, now: Duration) {
+        self.advance(now);
+        let lowered = terms.rate < self.terms.rate || terms.burst < self.terms.burst;
+        self.terms = terms;
+        if lowered {
+            self.level = self.level.min(self.burst());
+        }
+    }
+
+    /// Takes units for a request while anything is left; the level may fall below zero by one request.
+    ///
+    /// # Errors
+    /// The time until something is left again.
+    pub fn take(&mut self, units: f64, now: Duration) -> Result<(), Duration> {
+        self.advance(now);
+        self.demand += units / AVERAGE.as_secs_f64();
+        if self.level > 0.0 {
+            self.level -= units;
+            return Ok(());
+        }
+        let rate = self.rate().max(f64::MIN_POSITIVE);
+        let wait = (1.0 - self.level) / rate;
+        Err(Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX))
+    }
+
+    /// Gives back the units of a request that did not run.
+    pub fn refund(&mut self, units: f64) {
+        self.level += units;
+    }
+
+    /// Units at a time.
+    pub fn level(&mut self, now: Duration) -> f64 {
+        self.advance(now);
+        self.level
+    }
+
+    /// Units that are missing for the demand ahead, or zero.
+    pub fn shortage(&mut self, now: Duration) -> f64 {
+        self.advance(now);
+        let ahead = HORIZON.as_secs_f64();
+        ((self.demand - self.rate()) * ahead - self.level.min(self.demand * ahead)).max(0.0)
+    }
+
+    /// Takes units out for another daemon that misses `wanted`; at most half of what this one can spare.
+    pub fn give(&mut self, wanted: f64, now: Duration) -> f64 {
+        self.advance(now);
+        let short = (self.demand - self.rate()).max(0.0) * HORIZON.as_secs_f64();
+        let spare = self.level - short - KEPT_SHARE * self.burst();
+        let given = (spare / 2.0).min(wanted).max(0.0).floor();
+        self.level -= given;
+        given
+    }
+
+    /// Takes in units that another daemon took out.
+    pub fn receive(&mut self, units: f64, now: Duration) {
+        self.advance(now);
+        self.level += units;
+    }
+
+    fn rate(&self) -> f64 {
+        self.terms.rate / self.terms.daemons.max(1) as f64
+    }
+
+    fn burst(&self) -> f64 {
+        self.terms.burst / self.terms.daemons.max(1) as f64
+    }
+
+    fn advance(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.demand *= (-elapsed / AVERAGE.as_secs_f64()).exp();
+        if self.level < self.burst() {
+            self.level = (self.level + elapsed * self.rate()).min(self.burst());
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/health.rs
@@ -0,0 +1,99 @@
+//! What one daemon has seen of an endpoint: failures, silence and time to the first byte.
+
+use std::time::Duration;
+
+/// Weight of one outcome in the share of failures.
+const OUTCOME_WEIGHT: f64 = 0.15;
+
+/// Time in which a share of failures or an excess of latency halves while nothing new is seen.
+const HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// First pause after an endpoint could not be reached.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+
+/// Longest pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Weight of one sample in the average latency.
+const LATENCY_WEIGHT: f64 = 0.1;
+
+/// An endpoint as one daemon has seen it.
+///
+/// ```
+/// use std::time::Duration;
+/// use persimmoncroft::coordination::health::Health;
+/// let mut health = Health::default();
+/// health.unreachable(Duration::ZERO);
+/// assert!(health.is_paused(Duration::from_millis(299)));
+/// assert!(!health.is_paused(Duration::from_millis(301)));
+/// ```
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Health {
+    failures: f64,
+    seen: Duration,
+    paused_until: Duration,
+    pause: Duration,
+    latency: f64,
+}
+
+impl Health {
+    /// Notes an answer and the time until its first byte or event.
+    pub fn answered(&mut self, first: Duration, now: Duration) {
+        self.decay(now);
+        self.failures *= 1.0 - OUTCOME_WEIGHT;
+        self.pause = Duration::ZERO;
+        let sample = first.as_secs_f64() * 1000.0;
+        self.latency += (sample - self.latency) * LATENCY_WEIGHT;
+    }
+
+    /// Notes a request that failed at the endpoint.
+    pub fn failed(&mut self, now: Duration) {
+        self.decay(now);
+        self.failures += (1.0 - self.failures) * OUTCOME_WEIGHT;
+    }
+
+    /// Notes a request that got no answer at all in the time in which one was due.
+    pub fn silent(&mut self, now: Duration) {
+        self.failed(now);
+        self.failed(now);
+    }
+
+    /// Notes that no connection could be made, and pauses its use; each further time twice as long.
+    pub fn unreachable(&mut self, now: Duration) {
+        self.failed(now);
+        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
+        self.paused_until = now + self.pause;
+    }
+
+    /// Pauses the use of an endpoint that turned a request away.
+    pub fn refused(&mut self, pause: Duration, now: Duration) {
+        self.paused_until = self.paused_until.max(now + pause);
+    }
+
+    /// Whether the endpoint is not to be used now.
+    pub fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until
+    }
+
+    /// Share of recent requests that failed, 0 to 1.
+    pub fn failure_share(&self, now: Duration) -> f64 {
+        self.failures * self.fading(now)
+    }
+
+    /// Average time to the first byte, in milliseconds, fading while the endpoint is not used.
+    pub fn latency_millis(&self, now: Duration) -> f64 {
+        self.latency * self.fading(now)
+    }
+
+    fn decay(&mut self, now: Duration) {
+        let fading = self.fading(now);
+        self.failures *= fading;
+        self.latency *= fading;
+        self.seen = self.seen.max(now);
+    }
+
+    fn fading(&self, now: Duration) -> f64 {
+        let idle = now.saturating_sub(self.seen).as_secs_f64();
+        0.5_f64.powf(idle / HALF_LIFE.as_secs_f64())
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,12 +3,15 @@
 //! Times are [`std::time::Duration`]s since an arbitrary origin of the process's monotonic clock.
 
 pub mod adapter;
+pub mod allowance;
 pub mod bucket;
+pub mod choice;
 pub mod claim;
 pub mod consent;
 pub mod election;
 pub mod forecast;
 pub mod gate;
+pub mod health;
 pub mod holder;
 pub mod home;
 pub mod job;
@@ -26,4 +29,6 @@
 pub mod route;
 pub mod seat;
 pub mod smooth;
+pub mod stock;
 pub mod survey;
+pub mod warmup;
--- /dev/null
+++ b/src/coordination/warmup.rs
@@ -0,0 +1,67 @@
+//! How many requests one daemon may send to a cold endpoint, so that all daemons together stay below what it bears.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::home;
+
+/// The window in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Span by which arrivals can be closer together than sends.
+const JITTER: Duration = Duration::from_millis(150);
+
+/// Sends of one daemon to one cold endpoint within the last second.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Warmup {
+    sent: VecDeque<Duration>,
+}
+
+impl Warmup {
+    /// Whether one more request may be sent now; `part` is this daemon's number per second.
+    pub fn allows(&mut self, part: usize, now: Duration) -> bool {
+        while self
+            .sent
+            .front()
+            .is_some_and(|sent| *sent + WINDOW + JITTER < now)
+        {
+            self.sent.pop_front();
+        }
+        self.sent.len() < part
+    }
+
+    /// Counts a send.
+    pub fn sent(&mut self, now: Duration) {
+        self.sent.push_back(now);
+    }
+}
+
+/// Requests per second that this daemon may send to a cold endpoint.
+///
+/// With more daemons than requests per second, the endpoint is left to those that rank first for it.
+///
+/// ```
+/// use persimmoncroft::coordination::warmup::part;
+/// let daemons = ["a", "b", "c"];
+/// assert_eq!(part("endpoint", "b", &daemons, 29.0), 9);
+/// let one = daemons.iter().filter(|name| part("endpoint", name, &daemons, 1.0) == 1).count();
+/// assert_eq!(one, 1);
+/// ```
+pub fn part(endpoint: &str, daemon: &str, daemons: &[&str], per_second: f64) -> usize {
+    let total = per_second.floor() as usize;
+    let count = daemons.len().max(1);
+    if total >= count {
+        return total / count;
+    }
+    let mut left: Vec<&str> = daemons.to_vec();
+    for _ in 0..total {
+        let Some(first) = home::choose(endpoint, left.iter().copied(), |name| *name) else {
+            return 0;
+        };
+        if first == daemon {
+            return 1;
+        }
+        left.retain(|name| *name != first);
+    }
+    0
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod coordination;
 pub mod daemon;
 pub mod protocol;
+pub mod serving;
 pub mod settings;
 pub mod state;
 pub mod transport;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,6 +1,8 @@
 //! Typed messages and their codecs. No sockets.
 
 pub mod caller;
+pub mod connection;
+pub mod digest;
 pub mod engine;
 pub mod operator;
 pub mod peer;
--- /dev/null
+++ b/src/serving/accept.rs
@@ -0,0 +1,177 @@
+//! Listeners: callers, the platform's readiness checks and metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use super::Node;
+use super::admit::{self, Refusal};
+use super::relay::{self, Body};
+use crate::transport::exchange;
+
+/// Longest time between two requests on a connection; callers close idle ones sooner.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Longest time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Pause after a connection could not be accepted, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Largest body while no configuration says otherwise, in bytes.
+const BODY_BYTES: usize = 4 << 20;
+
+/// What a listener serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Callers' requests.
+    Callers,
+    /// Readiness.
+    Ready,
+    /// Metrics.
+    Metrics,
+}
+
+/// Accepts connections until the token is cancelled, and ends them gracefully when the daemon closes.
+pub async fn serve(node: Arc<Node>, listener: TcpListener, role: Role, until: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = until.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                node.connections
+                    .spawn(connection(node.clone(), stream, peer, role));
+            }
+            Err(error) => {
+                node.journal
+                    .line(|| format!("accept: failed role={role:?} error=\"{error}\""));
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(node: Arc<Node>, stream: TcpStream, peer: SocketAddr, role: Role) {
+    if let Err(error) = exchange::guard(&stream) {
+        node.journal
+            .line(|| format!("accept: connection of {peer} is gone error=\"{error}\""));
+        return;
+    }
+    let handler_node = node.clone();
+    let service = service_fn(move |request| {
+        let node = handler_node.clone();
+        async move { Ok::<_, Infallible>(answer(&node, request, role).await) }
+    });
+    let mut connection = pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(IDLE_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    // How a connection ended is known to its requests; a caller that left needs no line.
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = node.closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+async fn answer(node: &Arc<Node>, request: Request<Incoming>, role: Role) -> Response<Body> {
+    match role {
+        Role::Callers => call(node, request).await,
+        Role::Ready => match node.is_ready() {
+            true => text(StatusCode::OK, String::new()),
+            false => text(StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        },
+        Role::Metrics => {
+            let mut page = String::new();
+            match prometheus_client::encoding::text::encode(&mut page, &node.metrics) {
+                Ok(()) => text(StatusCode::OK, page),
+                Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+            }
+        }
+    }
+}
+
+fn text(status: StatusCode, text: String) -> Response<Body> {
+    let body = Full::new(Bytes::from(text)).map_err(|never| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
+
+async fn call(node: &Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let _in_flight = node.requests.token();
+    let arrived = node.now();
+    let mut response = match read(node, request).await {
+        Ok((parts, body)) => route(node, parts, body, arrived).await,
+        Err(refusal) => {
+            node.meter.ended(refusal.reason, refusal.status.as_u16());
+            relay::own(&refusal)
+        }
+    };
+    if node.leaving.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn read(
+    node: &Node,
+    request: Request<Incoming>,
+) -> Result<(http::request::Parts, Bytes), Refusal> {
+    let catalog = node.belief.catalog.load();
+    let most = catalog.as_ref().map_or(BODY_BYTES, |c| c.bounds.body_bytes);
+    let (parts, body) = request.into_parts();
+    let collected = Limited::new(body, most).collect();
+    let Ok(read) = tokio::time::timeout(BODY_TIMEOUT, collected).await else {
+        return Err(Refusal::invalid(StatusCode::REQUEST_TIMEOUT, "slow_body"));
+    };
+    match read {
+        Ok(body) => Ok((parts, body.to_bytes())),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            Err(Refusal::invalid(status, "body_too_large"))
+        }
+        Err(_) => Err(Refusal::invalid(StatusCode::BAD_REQUEST, "broken_body")),
+    }
+}
+
+async fn route(
+    node: &Arc<Node>,
+    parts: http::request::Parts,
+    body: Bytes,
+    arrived: Duration,
+) -> Response<Body> {
+    let call = match (node.adapter.call)(parts, body) {
+        Ok(call) => call,
+        Err(malformed) => {
+            node.journal
+                .line(|| format!("accept: malformed request error=\"{malformed}\""));
+            let refusal = Refusal::invalid(StatusCode::BAD_REQUEST, "malformed");
+            node.meter.ended(refusal.reason, refusal.status.as_u16());
+            return relay::own(&refusal);
+        }
+    };
+    match admit::admit(node, &call, arrived) {
+        Ok(ticket) => relay::answer(node, call, ticket).await,
+        Err(refusal) => relay::refuse(node, &call, &refusal),
+    }
+}
--- /dev/null
+++ b/src/serving/admit.rs
@@ -0,0 +1,188 @@
+//! Admission: route, key, rate limit and the time that a request has.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use rand::RngExt;
+
+use super::Node;
+use crate::coordination::allowance::{Allowance, Terms};
+use crate::state::call::Call;
+use crate::state::catalog::{Catalog, Route, Service, Workspace};
+
+/// Time after which a caller should come back to a daemon that knows no configuration yet.
+const UNCONFIGURED: Duration = Duration::from_millis(500);
+
+/// Least urgent rank that endpoints know.
+const LAST_RANK: u8 = 9;
+
+/// Ranks of routes within one rank of workspaces.
+const ROUTE_RANKS: u8 = 3;
+
+/// An answer of the daemon's own; the request has not run and will not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Status.
+    pub status: StatusCode,
+    /// Short reason, for logs and metrics.
+    pub reason: &'static str,
+    /// When the caller should come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A request that cannot be served whenever it comes.
+    pub fn invalid(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// A request that can be served later.
+    pub fn busy(reason: &'static str, retry_after: Duration) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason,
+            retry_after: Some(retry_after),
+        }
+    }
+}
+
+/// What an admitted request may use.
+#[derive(Debug, Clone)]
+pub struct Ticket {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that answers it.
+    pub service: Arc<Service>,
+    /// The workspace that it runs for; none on public routes.
+    pub workspace: Option<Arc<Workspace>>,
+    /// Units taken from the workspace's rate.
+    pub units: f64,
+    /// When it arrived.
+    pub arrived: Duration,
+    /// When the caller or the route gives up.
+    pub end: Duration,
+    /// Rank at endpoints.
+    pub rank: u8,
+}
+
+/// Admits a call that arrived at a time.
+///
+/// # Errors
+/// [`Refusal`]; nothing was taken from any limit.
+pub fn admit(node: &Node, call: &Call, arrived: Duration) -> Result<Ticket, Refusal> {
+    let catalog = node.belief.catalog.load_full();
+    let Some(catalog) = catalog else {
+        return Err(Refusal::busy("no_configuration", UNCONFIGURED));
+    };
+    let route = catalog.route(&call.host, call.path());
+    let not_found = || Refusal::invalid(StatusCode::NOT_FOUND, "no_route");
+    let route = route.ok_or_else(not_found)?.clone();
+    let workspace = authenticate(&catalog, &route, call)?;
+    let service = route.service(rand::rng().random());
+    let service = service.and_then(|name| catalog.services.get(name));
+    let service = service.ok_or_else(not_found)?.clone();
+    let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
+    let units = workspace.as_ref().map_or(0.0, |w| units(w, call));
+    if let Some(workspace) = &workspace {
+        node.limits.take(node, workspace, units)?;
+    }
+    Ok(Ticket {
+        rank: rank(workspace.as_deref(), &route),
+        route,
+        service,
+        workspace,
+        units,
+        arrived,
+        end: arrived + patience,
+    })
+}
+
+fn authenticate(
+    catalog: &Catalog,
+    route: &Route,
+    call: &Call,
+) -> Result<Option<Arc<Workspace>>, Refusal> {
+    let workspace = call.key.as_ref().and_then(|key| catalog.keys.get(key));
+    if workspace.is_none() && !route.public && !catalog.workspaces.is_empty() {
+        return Err(Refusal::invalid(StatusCode::UNAUTHORIZED, "unknown_key"));
+    }
+    Ok(workspace.cloned())
+}
+
+fn units(workspace: &Workspace, call: &Call) -> f64 {
+    match workspace.counts_tokens {
+        true => call.tokens().unwrap_or(workspace.default_tokens) as f64,
+        false => 1.0,
+    }
+}
+
+/// Rank at an endpoint: the workspace's goes first, the route's decides within it.
+fn rank(workspace: Option<&Workspace>, route: &Route) -> u8 {
+    let of_route = route.priority.min(ROUTE_RANKS - 1);
+    match workspace.and_then(|workspace| workspace.priority) {
+        Some(rank) => rank
+            .saturating_mul(ROUTE_RANKS)
+            .saturating_add(of_route)
+            .min(LAST_RANK),
+        None => route.priority.min(LAST_RANK),
+    }
+}
+
+/// This daemon's parts of all workspaces' rates.
+#[derive(Debug, Default)]
+pub struct Limits {
+    parts: parking_lot::Mutex<std::collections::HashMap<crate::state::record::Name, Allowance>>,
+}
+
+impl Limits {
+    fn take(&self, node: &Node, workspace: &Workspace, units: f64) -> Result<(), Refusal> {
+        let now = node.now();
+        let taken = self.with(node, workspace, now, |part| part.take(units, now));
+        match taken {
+            None | Some(Ok(())) => Ok(()),
+            Some(Err(wait)) => Err(Refusal {
+                status: StatusCode::TOO_MANY_REQUESTS,
+                reason: "over_rate",
+                retry_after: Some(wait),
+            }),
+        }
+    }
+
+    /// Gives back what a request that did not run had taken.
+    pub fn refund(&self, node: &Node, ticket: &Ticket) {
+        if let Some(workspace) = &ticket.workspace {
+            let now = node.now();
+            self.with(node, workspace, now, |part| part.refund(ticket.units));
+        }
+    }
+
+    /// Applies a function to this daemon's part of a workspace's rate; none when it has no limit.
+    pub fn with<T>(
+        &self,
+        node: &Node,
+        workspace: &Workspace,
+        now: Duration,
+        apply: impl FnOnce(&mut Allowance) -> T,
+    ) -> Option<T> {
+        if workspace.rate <= 0.0 {
+            return None;
+        }
+        let terms = Terms {
+            rate: workspace.rate,
+            burst: workspace.burst,
+            daemons: node.peers.count(),
+        };
+        let mut parts = self.parts.lock();
+        let name = workspace.name.clone();
+        let part = parts
+            .entry(name)
+            .or_insert_with(|| Allowance::open(terms, now));
+        part.set(terms, now);
+        Some(apply(part))
+    }
+}
--- /dev/null
+++ b/src/serving/choose.rs
@@ -0,0 +1,168 @@
+//! Candidates of a request among the endpoints that this daemon may use now.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::Node;
+use super::admit::Ticket;
+use super::endpoint::{Endpoint, Seen, chain};
+use crate::coordination::choice::{self, Candidate};
+use crate::coordination::warmup;
+use crate::state::call::{Call, Generation};
+use crate::state::record::Name;
+
+/// Requests in flight at an engine, as a multiple of its slots, from which no more are sent there.
+const ENGINE_FULL: f64 = 1.5;
+
+/// Requests in flight at a plain endpoint, as a multiple of its slots, from which no more are sent there.
+const PLAIN_FULL: f64 = 4.0;
+
+/// Why no endpoint can be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lack {
+    /// No endpoint of the service is known or all were tried.
+    Endpoint,
+    /// No endpoint holds the model.
+    Model,
+    /// Endpoints hold the model but not the adapter.
+    Adapter,
+    /// Endpoints are paused after failures or refusals.
+    Paused,
+    /// Endpoints are cold and have had their part of requests.
+    Cold,
+    /// Endpoints are full.
+    Full,
+}
+
+impl Lack {
+    /// Short reason, for logs and metrics.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::Endpoint => "no_endpoint",
+            Self::Model => "no_model",
+            Self::Adapter => "no_adapter",
+            Self::Paused => "endpoints_paused",
+            Self::Cold => "endpoints_cold",
+            Self::Full => "endpoints_full",
+        }
+    }
+}
+
+/// An endpoint that was chosen, and why.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// What was known of it.
+    pub candidate: Candidate,
+    /// Candidates that were compared.
+    pub compared: usize,
+}
+
+/// Chooses an endpoint for a call, leaving out those that were tried.
+///
+/// # Errors
+/// The [`Lack`] that keeps the most hopeful endpoint from being used.
+pub fn choose(node: &Node, ticket: &Ticket, call: &Call, tried: &[Name]) -> Result<Choice, Lack> {
+    let view = node.belief.view.load();
+    let now = node.now();
+    let none = Vec::new();
+    let endpoints = view.services.get(&ticket.service.name).unwrap_or(&none);
+    let parts = call.generation.as_ref().map(|generation| {
+        let adapter = generation.adapter.as_ref();
+        chain(&generation.model, adapter, &generation.parts)
+    });
+    let mut lack = Lack::Endpoint;
+    let mut options: Vec<(&Endpoint, Candidate)> = Vec::new();
+    for endpoint in endpoints {
+        if tried.contains(&endpoint.entry.id) {
+            continue;
+        }
+        match consider(node, ticket, call, endpoint, parts.as_deref(), now) {
+            Ok(candidate) => options.push((endpoint, candidate)),
+            Err(other) => lack = lack.max(other),
+        }
+    }
+    let candidates: Vec<Candidate> = options.iter().map(|(_, candidate)| *candidate).collect();
+    let index = choice::choose(&candidates, rand::rng().random()).ok_or(lack)?;
+    let (endpoint, candidate) = options.swap_remove(index);
+    let mut seen = endpoint.track.seen();
+    if now < seen.cold_until {
+        seen.warmup.sent(now);
+    }
+    if let Some(parts) = &parts {
+        seen.note_parts(parts);
+    }
+    drop(seen);
+    Ok(Choice {
+        endpoint: endpoint.clone(),
+        candidate,
+        compared: candidates.len(),
+    })
+}
+
+fn consider(
+    node: &Node,
+    ticket: &Ticket,
+    call: &Call,
+    endpoint: &Endpoint,
+    parts: Option<&[(u64, u32)]>,
+    now: Duration,
+) -> Result<Candidate, Lack> {
+    let entry = &endpoint.entry;
+    let mut seen = endpoint.track.seen();
+    if let Some(generation) = &call.generation {
+        holds(&seen, generation, now)?;
+    }
+    if seen.health.is_paused(now) {
+        return Err(Lack::Paused);
+    }
+    if now < seen.cold_until && ticket.service.cold_per_second > 0.0 {
+        let part = cold_part(node, &entry.id, ticket.service.cold_per_second);
+        if !seen.warmup.allows(part, now) {
+            return Err(Lack::Cold);
+        }
+    }
+    let engine = ticket.service.engine.as_ref();
+    let slots = f64::from(engine.map_or(entry.slots, |engine| engine.slots));
+    let flights = f64::from(endpoint.track.all_flights());
+    let full = engine.map_or(PLAIN_FULL, |_| ENGINE_FULL);
+    if flights >= slots * full {
+        return Err(Lack::Full);
+    }
+    let prompt = call.generation.as_ref().map_or(0, |g| g.prompt_tokens);
+    let read = parts.map_or(0, |parts| seen.read_tokens(parts));
+    Ok(Candidate {
+        near: entry.zone == node.settings.zone,
+        slots,
+        flights,
+        unread_tokens: prompt.saturating_sub(read) as f64,
+        latency_millis: seen.health.latency_millis(now),
+        failure_share: seen.health.failure_share(now),
+    })
+}
+
+fn holds(seen: &Seen, generation: &Generation, now: Duration) -> Result<(), Lack> {
+    let lacks = |name: &str| seen.lacking.get(name).is_some_and(|until| now < *until);
+    let adapters = seen.models.get(&generation.model);
+    let Some(adapters) = adapters.filter(|_| !lacks(&generation.model)) else {
+        return Err(Lack::Model);
+    };
+    match &generation.adapter {
+        Some(adapter) if !adapters.contains(adapter) => Err(Lack::Adapter),
+        _ => Ok(()),
+    }
+}
+
+/// Requests per second that this daemon may send to a cold endpoint.
+fn cold_part(node: &Node, endpoint: &str, per_second: f64) -> usize {
+    let names = node.peers.names();
+    let daemons: Vec<&str> = names.iter().map(|name| &**name).collect();
+    let total = per_second * node.settings.cold_over;
+    warmup::part(endpoint, &node.settings.name, &daemons, total)
+}
+
+/// Shared list of names, rebuilt when daemons come and go.
+pub type Names = Arc<[Name]>;
--- /dev/null
+++ b/src/serving/ledger.rs
@@ -0,0 +1,326 @@
+//! What the placer knows of engines, and the demand that it has heard of. No sockets.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use super::adapter::Report;
+use super::endpoint::View;
+use crate::coordination::stock::{self, Engine, Need, Stock};
+use crate::protocol::digest::{Demand, Holding};
+use crate::state::catalog::Service;
+use crate::state::record::Name;
+
+/// Time constant of the quick average of demand.
+const QUICK: f64 = 1.5;
+
+/// Time constant of the slow average of demand.
+const SLOW: f64 = 8.0;
+
+/// Copies of each adapter of a busy model that are placed ahead of demand.
+const ADAPTER_COPIES: usize = 2;
+
+/// Copies from which a model without known demand is taken as busy.
+const BUSY_COPIES: usize = 3;
+
+/// Loads from the weight store that may be under way at once.
+const STORE_LOADS_AT_ONCE: usize = 5;
+
+/// Loads that an earlier holder may have begun within the window.
+const LOADS_OF_OTHERS: usize = 4;
+
+/// Work of a model, averaged in two ways.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct Work {
+    quick: f64,
+    slow: f64,
+    at: Duration,
+}
+
+impl Work {
+    fn add(&mut self, millis: f64, now: Duration) {
+        self.decay(now);
+        self.quick += millis / 1000.0 / QUICK;
+        self.slow += millis / 1000.0 / SLOW;
+    }
+
+    fn decay(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        self.quick *= (-elapsed / QUICK).exp();
+        self.slow *= (-elapsed / SLOW).exp();
+        self.at = self.at.max(now);
+    }
+
+    /// Running requests to be expected: quick to rise, slow to fall.
+    fn forecast(&mut self, now: Duration) -> f64 {
+        self.decay(now);
+        (self.quick + (self.quick - self.slow).max(0.0)).max(self.slow)
+    }
+}
+
+/// One engine in the placer's books.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Account {
+    /// Unix time of its start, as its entry says.
+    pub born: Option<u64>,
+    /// Orders that it has accepted; none until a report was read.
+    pub sequence: Option<u64>,
+    /// Models, their adapters, and when each adapter was last asked for.
+    pub models: BTreeMap<Name, BTreeMap<Name, Duration>>,
+    /// Models that load without the weight store.
+    pub cached: BTreeSet<Name>,
+    /// Whether an order or a report is under way.
+    pub busy: bool,
+    /// No order is sent before this time, after one was refused.
+    pub rest_until: Duration,
+}
+
+/// All books of the placer.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// Engines by identifier.
+    pub accounts: HashMap<Name, Account>,
+    /// Loads under way: engine, model, and whether the weights come from the weight store.
+    pub loading: Vec<(Name, Name, bool)>,
+    /// Adapters that requests wait for, with the zone of the first.
+    pub wanted: Vec<(Name, Name, Name)>,
+    work: HashMap<Name, Work>,
+    uses: HashMap<(Name, Name), Duration>,
+    store_loads: VecDeque<Duration>,
+}
+
+impl Ledger {
+    /// Begins as the holder of the duty: what others ordered last is not known.
+    pub fn begin(&mut self, now: Duration) {
+        self.accounts.clear();
+        self.loading.clear();
+        self.wanted.clear();
+        self.store_loads = (0..LOADS_OF_OTHERS).map(|_| now).collect();
+    }
+
+    /// Takes in demand.
+    pub fn learn(&mut self, demand: &Demand, now: Duration) {
+        for (model, millis) in &demand.work {
+            let work = self.work.entry(model.clone()).or_default();
+            work.add(*millis as f64, now);
+        }
+        for (model, adapter, _) in &demand.adapters {
+            self.uses.insert((model.clone(), adapter.clone()), now);
+            for account in self.accounts.values_mut() {
+                let adapters = account.models.get_mut(model);
+                if let Some(used) = adapters.and_then(|adapters| adapters.get_mut(adapter)) {
+                    *used = now;
+                }
+            }
+        }
+    }
+
+    /// Drops engines that are gone and opens accounts of new ones; returns those whose report has to be read.
+    pub fn follow(
+        &mut self,
+        view: &View,
+        services: &HashMap<Name, std::sync::Arc<Service>>,
+    ) -> Vec<Name> {
+        let is_engine = |id: &Name| {
+            let endpoint = view.all.get(id)?;
+            services.get(&endpoint.entry.service)?.engine.as_ref()
+        };
+        self.accounts.retain(|id, account| {
+            let born = view.all.get(id).map(|endpoint| endpoint.entry.born);
+            born == Some(account.born)
+        });
+        let accounts = &self.accounts;
+        self.loading.retain(|(id, _, _)| accounts.contains_key(id));
+        for (id, endpoint) in &view.all {
+            if is_engine(id).is_some() && !endpoint.entry.draining {
+                let account = self.accounts.entry(id.clone()).or_default();
+                account.born = endpoint.entry.born;
+            }
+        }
+        let unread = self
+            .accounts
+            .iter_mut()
+            .filter(|(_, account)| account.sequence.is_none() && !account.busy);
+        let unread = unread.map(|(id, account)| {
+            account.busy = true;
+            id.clone()
+        });
+        unread.collect()
+    }
+
+    /// Takes in an engine's report; says whether it was as new as the last order, since reports lag.
+    pub fn read(&mut self, id: &str, report: Report, now: Duration) -> bool {
+        let Some(account) = self.accounts.get_mut(id) else {
+            return true;
+        };
+        if account
+            .sequence
+            .is_some_and(|known| report.sequence < known)
+        {
+            return false;
+        }
+        let uses = &self.uses;
+        let models = report.models.into_iter().map(|(model, adapters)| {
+            let used = |adapter: Name| {
+                let key = (model.clone(), adapter.clone());
+                let at = uses.get(&key).copied().unwrap_or(Duration::ZERO);
+                (adapter, at)
+            };
+            let adapters = adapters.into_iter().map(used).collect();
+            (model.clone(), adapters)
+        });
+        account.models = models.collect();
+        for (model, adapter) in report.pending {
+            account
+                .models
+                .entry(model)
+                .or_default()
+                .insert(adapter, now);
+        }
+        account.cached = report.cached.into_iter().collect();
+        account.sequence = Some(report.sequence);
+        true
+    }
+
+    /// What the planner needs to know.
+    pub fn stock(&mut self, view: &View, service: &Service, now: Duration) -> Stock {
+        let Some(engine) = &service.engine else {
+            return Stock::default();
+        };
+        let needs = engine.models.iter().map(|(name, model)| {
+            let work = self
+                .work
+                .get_mut(name)
+                .map_or(0.0, |work| work.forecast(now));
+            let need = Need {
+                megabytes: model.megabytes,
+                adapter_megabytes: model.adapter_megabytes,
+                work,
+            };
+            (name.clone(), need)
+        });
+        let needs = needs.collect();
+        let usable = view.services.get(&service.name);
+        let is_usable = |id: &Name| {
+            usable.is_some_and(|usable| usable.iter().any(|endpoint| endpoint.entry.id == *id))
+        };
+        let engines = self.accounts.iter().filter_map(|(id, account)| {
+            let endpoint = view.all.get(id)?;
+            (endpoint.entry.service == service.name).then(|| Engine {
+                id: id.clone(),
+                zone: endpoint.entry.zone.clone(),
+                megabytes: engine.megabytes,
+                places: engine.adapter_places,
+                models: account.models.clone(),
+                cached: account.cached.clone(),
+                busy: account.busy || account.sequence.is_none() || account.rest_until > now,
+                usable: is_usable(id),
+            })
+        });
+        let loading = self
+            .loading
+            .iter()
+            .map(|(id, model, _)| (id.clone(), model.clone()));
+        Stock {
+            engines: engines.collect(),
+            needs,
+            loading: loading.collect(),
+            slots: f64::from(engine.slots),
+        }
+    }
+
+    /// Whether another load from the weight store may begin now.
+    pub fn may_load(&mut self, per_second: f64, window: Duration, now: Duration) -> bool {
+        while self
+            .store_loads
+            .front()
+            .is_some_and(|at| *at + window < now)
+        {
+            self.store_loads.pop_front();
+        }
+        let under_way = self.loading.iter().filter(|(_, _, from_store)| *from_store);
+        let most = (per_second * window.as_secs_f64()).floor() as usize;
+        self.store_loads.len() < most && under_way.count() < STORE_LOADS_AT_ONCE
+    }
+
+    /// Notes that a load from the weight store may begin.
+    pub fn note_load(&mut self, now: Duration) {
+        self.store_loads.push_back(now);
+    }
+
+    /// An adapter of a busy model to place ahead of demand, for an engine with a free place.
+    pub fn ahead(&self, stock: &Stock, service: &Service) -> Option<(Name, Name, Name)> {
+        let models = &service.engine.as_ref()?.models;
+        let mut open: Vec<&Engine> = stock
+            .engines
+            .iter()
+            .filter(|engine| engine.usable && !engine.busy && places_left(engine) > 0)
+            .collect();
+        open.sort_by_key(|engine| std::cmp::Reverse(places_left(engine)));
+        for engine in open {
+            let busy = engine.models.keys().filter(|model| {
+                let work = stock.needs.get(*model).map_or(0.0, |need| need.work);
+                work > 1.0 || stock.copies(model) >= BUSY_COPIES
+            });
+            let options = busy.flat_map(|model| {
+                let adapters = models.get(model).map_or(&[][..], |model| &model.adapters);
+                adapters.iter().map(move |adapter| (model, adapter))
+            });
+            let copies = |model: &Name, adapter: &Name| {
+                let held = stock.engines.iter().filter(|engine| {
+                    let adapters = engine.models.get(model);
+                    adapters.is_some_and(|adapters| adapters.contains_key(adapter))
+                });
+                held.count()
+            };
+            let best = options
+                .filter(|(model, adapter)| !engine.models[*model].contains_key(*adapter))
+                .map(|(model, adapter)| (copies(model, adapter), model, adapter))
+                .filter(|(count, _, _)| *count < ADAPTER_COPIES)
+                .min();
+            if let Some((_, model, adapter)) = best {
+                return Some((engine.id.clone(), model.clone(), adapter.clone()));
+            }
+        }
+        None
+    }
+
+    /// Where a wanted adapter should go.
+    pub fn berth(
+        &self,
+        stock: &Stock,
+        wanted: &(Name, Name, Name),
+        now: Duration,
+    ) -> Option<stock::Berth> {
+        let (model, adapter, zone) = wanted;
+        stock::berth(&stock.engines, model, adapter, zone, now)
+    }
+
+    /// An engine that holds an adapter.
+    pub fn holder(&self, stock: &Stock, model: &str, adapter: &str) -> Option<Name> {
+        let mut usable = stock.engines.iter().filter(|engine| engine.usable);
+        let holds = |engine: &&Engine| {
+            let adapters = engine.models.get(model);
+            adapters.is_some_and(|adapters| adapters.contains_key(adapter))
+        };
+        usable.find(holds).map(|engine| engine.id.clone())
+    }
+
+    /// What an engine holds, as it is told to all daemons.
+    pub fn holding(&self, id: &Name) -> Option<Holding> {
+        let account = self.accounts.get(id)?;
+        account.sequence?;
+        let models = account.models.iter().map(|(model, adapters)| {
+            let adapters = adapters.keys().cloned().collect();
+            (model.clone(), adapters)
+        });
+        Some(Holding {
+            engine: id.clone(),
+            models: models.collect(),
+        })
+    }
+}
+
+fn places_left(engine: &Engine) -> usize {
+    let held: usize = engine.models.values().map(BTreeMap::len).sum();
+    engine.places.saturating_sub(held)
+}
--- /dev/null
+++ b/src/serving/mod.rs
@@ -0,0 +1,382 @@
+//! The daemon on a platform: endpoints and configuration come from its store, callers and endpoints speak its protocol
+//! through an [`adapter::Adapter`], and everything that lasts lies in the store.
+//!
+//! A request's way: [`accept`], [`admit`], [`choose`], [`relay`], [`stream`]. Duties: [`feed`], [`peers`], [`placer`].
+
+pub mod accept;
+pub mod adapter;
+pub mod admit;
+pub mod belief;
+pub mod choose;
+pub mod demand;
+pub mod endpoint;
+pub mod feed;
+pub mod journal;
+pub mod ledger;
+pub mod meter;
+pub mod peers;
+pub mod placer;
+pub mod relay;
+pub mod settings;
+pub mod stream;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant, SystemTime};
+
+use displaydoc::Display;
+use http::StatusCode;
+use nix::time::{ClockId, clock_gettime};
+use parking_lot::Mutex;
+use prometheus_client::registry::Registry;
+use rand::RngExt;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use adapter::Adapter;
+use feed::{Freshness, Table};
+use settings::Settings;
+
+use crate::coordination::retry::Budget;
+use crate::state::call::KeepAlive;
+use crate::state::record::Name;
+use crate::state::row::Change;
+use crate::transport::exchange::{Connection, Line, Pool};
+use crate::transport::{gossip, peer};
+
+/// Timeout of a write to the store.
+const COMMIT_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// Interval at which idle connections are looked through and dropped log lines are counted.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time after SIGTERM for which new connections are still accepted: the platform's balancer misses two checks first.
+const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(3200);
+
+/// Time before the end of the grace at which requests that still run are cut.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Share of the fleet's extra retries that is divided over daemons.
+const RETRY_SHARE: f64 = 0.8;
+
+/// Why a daemon could not start.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// cannot listen on {0}: {1}
+    Listen(SocketAddr, std::io::Error),
+    /// peer listener failed: {0}
+    Peer(peer::Error),
+    /// datagram socket failed: {0}
+    Gossip(gossip::Error),
+}
+
+impl std::error::Error for Error {}
+
+/// What all parts of one daemon share.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings from the start.
+    pub settings: Settings,
+    /// The platform's translation.
+    pub adapter: Adapter,
+    /// Start of this process, in milliseconds since the epoch.
+    pub session: u64,
+    origin: Instant,
+    /// What is believed of the fleet.
+    pub belief: belief::Belief,
+    /// Freshness of the operators' table.
+    pub operator_feed: Freshness,
+    /// Freshness of the endpoints' table.
+    pub endpoint_feed: Freshness,
+    /// Other daemons.
+    pub peers: peers::Peers,
+    /// Socket for datagrams between daemons.
+    pub gossip: gossip::Socket,
+    /// Its address.
+    pub gossip_address: SocketAddr,
+    /// Address for peers' calls.
+    pub peer_address: SocketAddr,
+    /// Connections for calls to peers.
+    pub calls: peer::Pool,
+    /// Idle connections to endpoints.
+    pub pool: Pool,
+    /// Parts of workspaces' rates.
+    pub limits: admit::Limits,
+    retries: Mutex<HashMap<Name, Budget>>,
+    /// Demand for the placer.
+    pub demand: demand::Demand,
+    /// The duty to place models.
+    pub placer: placer::Placer,
+    /// Log lines about requests.
+    pub journal: journal::Journal,
+    /// Metrics of all parts.
+    pub meter: meter::Meter,
+    /// Their registry.
+    pub metrics: Registry,
+    /// Cancelled when the daemon begins to leave: it is unready and asks callers to close.
+    pub leaving: CancellationToken,
+    /// Cancelled when connections that are idle are closed.
+    pub closing: CancellationToken,
+    /// Cancelled when background duties stop.
+    pub stopped: CancellationToken,
+    /// Connections of callers.
+    pub connections: TaskTracker,
+    /// Requests in flight.
+    pub requests: TaskTracker,
+}
+
+impl Node {
+    /// Time since the daemon's start, by the monotonic clock.
+    pub fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// Time by a clock that goes on while the machine is suspended.
+    pub fn boot_now(&self) -> Duration {
+        match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+            Ok(time) => time.into(),
+            Err(error) => {
+                self.journal
+                    .line(|| format!("daemon: no boot clock error=\"{error}\""));
+                self.now()
+            }
+        }
+    }
+
+    /// Whether new connections are welcome.
+    pub fn is_ready(&self) -> bool {
+        self.belief.catalog.load().is_some()
+            && !self.belief.view.load().all.is_empty()
+            && !self.leaving.is_cancelled()
+    }
+
+    /// Counts a request to a service, which earns a part of a retry.
+    pub fn deposit_retry(&self, service: &Name) {
+        let mut retries = self.retries.lock();
+        match retries.get_mut(service) {
+            Some(budget) => budget.deposit(),
+            None => drop(retries.insert(service.clone(), self.empty_budget())),
+        }
+    }
+
+    /// Takes a retry to a service from this daemon's part of the budget.
+    pub fn take_retry(&self, service: &Name) -> bool {
+        let mut retries = self.retries.lock();
+        retries.get_mut(service).is_some_and(Budget::take)
+    }
+
+    fn empty_budget(&self) -> Budget {
+        let mut budget = Budget::empty();
+        budget.limit(self.saved_retries());
+        budget
+    }
+
+    fn saved_retries(&self) -> u64 {
+        let share = self.settings.retry_extra as f64 * RETRY_SHARE;
+        (share / self.peers.count() as f64).floor() as u64
+    }
+
+    /// Divides the fleet's extra retries anew.
+    pub fn limit_retries(&self) {
+        let saved = self.saved_retries();
+        for budget in self.retries.lock().values_mut() {
+            budget.limit(saved);
+        }
+    }
+
+    /// Keeps a connection to an endpoint after a whole answer.
+    pub fn keep(&self, endpoint: &Name, connection: Connection, keep: KeepAlive) {
+        match keep {
+            KeepAlive::Close => {}
+            KeepAlive::Open => self.pool.put(endpoint, connection, None),
+            KeepAlive::For(time) => self.pool.put(endpoint, connection, Some(time)),
+        }
+    }
+
+    /// Writes rows; returns the new version, or none if a condition does not hold.
+    ///
+    /// # Errors
+    /// When it is not known whether they were written, or the store refuses.
+    pub async fn commit(&self, line: &Line, change: &Change) -> Result<Option<u64>, feed::Error> {
+        self.meter.store_calls.inc();
+        let request = (self.adapter.commit)(change);
+        let response = line.fetch(request, COMMIT_TIMEOUT).await;
+        let response = response.map_err(feed::Error::Exchange)?;
+        match response.status() {
+            StatusCode::OK => {
+                let page = (self.adapter.page)(response.body()).ok_or(feed::Error::Page)?;
+                Ok(Some(page.version))
+            }
+            StatusCode::PRECONDITION_FAILED => Ok(None),
+            status => Err(feed::Error::Status(status)),
+        }
+    }
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    node: Arc<Node>,
+    /// Address of the listener for callers.
+    pub caller_address: SocketAddr,
+    /// Address of the listener for readiness checks.
+    pub ready_address: SocketAddr,
+    accepting: CancellationToken,
+    peer_server: peer::Server,
+    duties: TaskTracker,
+}
+
+impl Daemon {
+    /// Starts a daemon and returns its handle.
+    ///
+    /// # Errors
+    /// When a listener cannot be bound.
+    pub async fn spawn(settings: Settings, adapter: Adapter) -> Result<Self, Error> {
+        let callers = listen(settings.caller_listen).await?;
+        let ready = listen(settings.ready_listen).await?;
+        let metrics = listen(settings.metrics_listen).await?;
+        let gossip = gossip::Socket::bind(settings.gossip_listen)
+            .await
+            .map_err(Error::Gossip)?;
+        let slot = Arc::new(OnceLock::new());
+        let peer_server = peer::Server::bind(settings.peer_listen, peers::module(slot.clone()))
+            .await
+            .map_err(Error::Peer)?;
+        let (caller_address, ready_address) = (callers.1, ready.1);
+        let node = open(settings, adapter, gossip, peer_server.address)?;
+        let node = Arc::new(node);
+        let _ = slot.set(node.clone());
+        let accepting = CancellationToken::new();
+        let duties = TaskTracker::new();
+        duties.spawn(feed::run(node.clone(), Table::Operator));
+        duties.spawn(feed::run(node.clone(), Table::Endpoints));
+        duties.spawn(peers::discover(node.clone()));
+        duties.spawn(peers::tell(node.clone()));
+        duties.spawn(peers::listen(node.clone()));
+        duties.spawn(placer::run(node.clone()));
+        duties.spawn(sweep(node.clone()));
+        let stopped = node.stopped.clone();
+        for (listener, role, until) in [
+            (callers.0, accept::Role::Callers, accepting.clone()),
+            (ready.0, accept::Role::Ready, stopped.clone()),
+            (metrics.0, accept::Role::Metrics, stopped),
+        ] {
+            duties.spawn(accept::serve(node.clone(), listener, role, until));
+        }
+        spdlog::info!(
+            "daemon: started name={} zone={} session={} callers={caller_address} peers={}",
+            node.settings.name,
+            node.settings.zone,
+            node.session,
+            node.peer_address
+        );
+        Ok(Self {
+            node,
+            caller_address,
+            ready_address,
+            accepting,
+            peer_server,
+            duties,
+        })
+    }
+
+    /// What the daemon's parts share.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Leaves gracefully: unready at once, serves on while the balancer notices, and ends within the grace.
+    pub async fn stop(self) {
+        let node = &self.node;
+        let started = Instant::now();
+        node.leaving.cancel();
+        spdlog::info!("daemon: leaving name={}", node.settings.name);
+        tokio::time::sleep(ACCEPT_AFTER_TERM.min(node.settings.grace / 2)).await;
+        self.accepting.cancel();
+        node.closing.cancel();
+        node.requests.close();
+        let left = node.settings.grace.saturating_sub(GRACE_MARGIN);
+        let left = left.saturating_sub(started.elapsed());
+        let finished = tokio::time::timeout(left, node.requests.wait()).await;
+        node.stopped.cancel();
+        spdlog::info!(
+            "daemon: stopped name={} requests_cut={}",
+            node.settings.name,
+            if finished.is_ok() {
+                0
+            } else {
+                node.requests.len()
+            }
+        );
+        self.duties.close();
+        drop(self.peer_server);
+    }
+}
+
+fn open(
+    settings: Settings,
+    adapter: Adapter,
+    gossip: gossip::Socket,
+    peer_address: SocketAddr,
+) -> Result<Node, Error> {
+    let mut metrics = Registry::with_prefix("persimmoncroft");
+    let session = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    Ok(Node {
+        adapter,
+        session: session.as_millis() as u64,
+        origin: Instant::now(),
+        belief: belief::Belief::default(),
+        operator_feed: Freshness::default(),
+        endpoint_feed: Freshness::default(),
+        peers: peers::Peers::open(&settings.name),
+        gossip_address: gossip.address().map_err(Error::Gossip)?,
+        gossip,
+        peer_address,
+        calls: peer::Pool::default(),
+        pool: Pool::default(),
+        limits: admit::Limits::default(),
+        retries: Mutex::default(),
+        demand: demand::Demand::default(),
+        placer: placer::Placer::open(settings.placement_lease),
+        journal: journal::Journal::default(),
+        meter: meter::Meter::open(&mut metrics),
+        metrics,
+        leaving: CancellationToken::new(),
+        closing: CancellationToken::new(),
+        stopped: CancellationToken::new(),
+        connections: TaskTracker::new(),
+        requests: TaskTracker::new(),
+        settings,
+    })
+}
+
+/// A time that differs by up to a fifth, so that daemons do not act together.
+pub fn spread(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(0.8..1.2))
+}
+
+async fn sweep(node: Arc<Node>) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(SWEEP_INTERVAL) => {}
+            () = node.stopped.cancelled() => return,
+        }
+        let view = node.belief.view.load();
+        node.pool.prune(|id| view.all.contains_key(id));
+        node.journal.sum_up(SWEEP_INTERVAL);
+        node.meter.in_flight.set(node.requests.len() as i64);
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), Error> {
+    let bind = async {
+        let listener = TcpListener::bind(address).await?;
+        let bound = listener.local_addr()?;
+        Ok((listener, bound))
+    };
+    bind.await.map_err(|error| Error::Listen(address, error))
+}
--- /dev/null
+++ b/src/serving/settings.rs
@@ -0,0 +1,252 @@
+//! Settings of the daemon on a platform, read from INI.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use ini::Ini;
+use spdlog::Level;
+
+use crate::settings::Mistake;
+use crate::state::record::Name;
+
+/// Everything that a daemon is told at start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of this daemon, unique in the fleet.
+    pub name: Name,
+    /// Availability zone.
+    pub zone: Name,
+    /// Least severe log lines that are written.
+    pub log_level: Level,
+    /// Time from SIGTERM until the process is killed.
+    pub grace: Duration,
+    /// Listener for callers.
+    pub caller_listen: SocketAddr,
+    /// Listener for the platform's readiness checks.
+    pub ready_listen: SocketAddr,
+    /// Listener for other daemons' calls.
+    pub peer_listen: SocketAddr,
+    /// Address for datagrams between daemons.
+    pub gossip_listen: SocketAddr,
+    /// Listener for metrics.
+    pub metrics_listen: SocketAddr,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// Retries beyond the share of requests that the whole fleet may make in one window.
+    pub retry_extra: u64,
+    /// Factor over an endpoint's cold rate that the fleet may reach.
+    pub cold_over: f64,
+    /// Time for which nobody else may order after a holder's last order.
+    pub placement_lease: Duration,
+    /// Window in which loads from the weight store are counted.
+    pub load_window: Duration,
+}
+
+impl Settings {
+    /// Settings for a daemon on loopback with free ports.
+    ///
+    /// ```
+    /// use persimmoncroft::serving::settings::Settings;
+    /// let settings = Settings::local("d1", "a", "127.0.0.1:8225".parse().unwrap());
+    /// assert_eq!(settings.caller_listen.port(), 0);
+    /// ```
+    pub fn local(name: &str, zone: &str, store_address: SocketAddr) -> Self {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            name: name.into(),
+            zone: zone.into(),
+            log_level: Level::Info,
+            grace: Duration::from_secs(8),
+            caller_listen: free,
+            ready_listen: free,
+            peer_listen: free,
+            gossip_listen: free,
+            metrics_listen: free,
+            store_address,
+            retry_extra: 50,
+            cold_over: 1.0,
+            placement_lease: Duration::from_secs(3),
+            load_window: Duration::from_secs(5),
+        }
+    }
+
+    /// Reads settings from INI text.
+    ///
+    /// # Errors
+    /// Every mistake, with its line, section, key and what was expected.
+    ///
+    /// ```
+    /// use persimmoncroft::serving::settings::Settings;
+    /// let mistakes = Settings::parse("[daemon]\nzones = a\n").unwrap_err();
+    /// assert!(mistakes.iter().any(|mistake| mistake.line == 2 && mistake.key == "zones"));
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Vec<Mistake>> {
+        let mut settings = Self::local("-", "-", SocketAddr::from(([0, 0, 0, 0], 0)));
+        let mut mistakes = Vec::new();
+        let file = match Ini::load_from_str(text) {
+            Ok(file) => file,
+            Err(error) => {
+                let found = error.msg.to_string();
+                return Err(vec![Mistake {
+                    line: error.line,
+                    section: "-".into(),
+                    key: "-".into(),
+                    expected: "INI text".into(),
+                    found,
+                }]);
+            }
+        };
+        for (section, properties) in file.iter() {
+            let section = section.unwrap_or("-");
+            for (name, value) in properties.iter() {
+                let mistake = |expected: &str| Mistake {
+                    line: line_of(text, section, name),
+                    section: section.to_owned(),
+                    key: name.to_owned(),
+                    expected: expected.to_owned(),
+                    found: format!("\"{value}\""),
+                };
+                match KEYS
+                    .iter()
+                    .find(|key| key.section == section && key.name == name)
+                {
+                    None => mistakes.push(mistake("a known key")),
+                    Some(key) => {
+                        if (key.set)(&mut settings, value.trim()).is_none() {
+                            mistakes.push(mistake(key.expected));
+                        }
+                    }
+                }
+            }
+        }
+        for key in KEYS.iter().filter(|key| key.required) {
+            let found = file
+                .section(Some(key.section))
+                .and_then(|s| s.get(key.name));
+            if found.is_none() {
+                mistakes.push(Mistake {
+                    line: 0,
+                    section: key.section.into(),
+                    key: key.name.into(),
+                    expected: key.expected.into(),
+                    found: "nothing".into(),
+                });
+            }
+        }
+        if mistakes.is_empty() {
+            Ok(settings)
+        } else {
+            mistakes.sort_by_key(|mistake| mistake.line);
+            Err(mistakes)
+        }
+    }
+}
+
+/// One key of the settings file.
+struct Key {
+    section: &'static str,
+    name: &'static str,
+    expected: &'static str,
+    required: bool,
+    set: fn(&mut Settings, &str) -> Option<()>,
+}
+
+const ADDRESS: &str = "IP:PORT";
+const NAME: &str = "a name without blanks";
+const COUNT: &str = "a whole number";
+const NUMBER: &str = "a number from 0";
+const LEVEL: &str = "one of critical, error, warn, info, debug, trace";
+
+const KEYS: &[Key] = &[
+    key("daemon", "name", NAME, true, |s, text| {
+        put(&mut s.name, word(text)?.into())
+    }),
+    key("daemon", "zone", NAME, true, |s, text| {
+        put(&mut s.zone, word(text)?.into())
+    }),
+    key("daemon", "log_level", LEVEL, false, |s, text| {
+        put(&mut s.log_level, Level::from_str(text).ok()?)
+    }),
+    key("daemon", "grace_s", NUMBER, false, |s, text| {
+        put(&mut s.grace, seconds(text)?)
+    }),
+    key("listen", "callers", ADDRESS, true, |s, text| {
+        put(&mut s.caller_listen, text.parse().ok()?)
+    }),
+    key("listen", "ready", ADDRESS, true, |s, text| {
+        put(&mut s.ready_listen, text.parse().ok()?)
+    }),
+    key("listen", "peers", ADDRESS, true, |s, text| {
+        put(&mut s.peer_listen, text.parse().ok()?)
+    }),
+    key("listen", "gossip", ADDRESS, true, |s, text| {
+        put(&mut s.gossip_listen, text.parse().ok()?)
+    }),
+    key("listen", "metrics", ADDRESS, true, |s, text| {
+        put(&mut s.metrics_listen, text.parse().ok()?)
+    }),
+    key("platform", "store", ADDRESS, true, |s, text| {
+        put(&mut s.store_address, text.parse().ok()?)
+    }),
+    key("limits", "retry_extra", COUNT, false, |s, text| {
+        put(&mut s.retry_extra, text.parse().ok()?)
+    }),
+    key("limits", "cold_over", NUMBER, false, |s, text| {
+        put(&mut s.cold_over, number(text)?)
+    }),
+    key("placement", "lease_ms", NUMBER, false, |s, text| {
+        put(&mut s.placement_lease, seconds(text)? / 1000)
+    }),
+    key("placement", "load_window_s", NUMBER, false, |s, text| {
+        put(&mut s.load_window, seconds(text)?)
+    }),
+];
+
+const fn key(
+    section: &'static str,
+    name: &'static str,
+    expected: &'static str,
+    required: bool,
+    set: fn(&mut Settings, &str) -> Option<()>,
+) -> Key {
+    Key {
+        section,
+        name,
+        expected,
+        required,
+        set,
+    }
+}
+
+fn put<T>(field: &mut T, value: T) -> Option<()> {
+    *field = value;
+    Some(())
+}
+
+fn word(text: &str) -> Option<&str> {
+    let plain = !text.is_empty() && !text.contains(char::is_whitespace);
+    plain.then_some(text)
+}
+
+fn number(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|number: &f64| *number >= 0.0)
+}
+
+fn seconds(text: &str) -> Option<Duration> {
+    Duration::try_from_secs_f64(number(text)?).ok()
+}
+
+/// Line of a key in a section, from 1.
+fn line_of(text: &str, section: &str, name: &str) -> usize {
+    let mut current = "-";
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(header) = line.strip_prefix('[').and_then(|l| l.strip_suffix(']')) {
+            current = header;
+        } else if current == section && line.split('=').next().is_some_and(|k| k.trim() == name) {
+            return index + 1;
+        }
+    }
+    0
+}
--- /dev/null
+++ b/src/serving/stream.rs
@@ -0,0 +1,253 @@
+//! Passes streams of events on at whole events, and goes on at another endpoint where that is allowed.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::stream::unfold;
+use http::Response;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use tokio::time::timeout;
+
+use super::choose;
+use super::relay::{Body, Exchange, Run, Sent, passed_on};
+
+/// Longest event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Longest silence in a stream that can go on elsewhere, as a multiple of the pause that is on time.
+const SILENT_GAPS: u32 = 6;
+
+/// Least such silence.
+const LEAST_SILENCE: Duration = Duration::from_millis(900);
+
+/// Sends to other endpoints that one break may cost.
+const MAX_RESUMES: usize = 3;
+
+/// Event boundaries in received bytes.
+#[derive(Debug, Default)]
+pub struct Events {
+    buffer: BytesMut,
+    last: Option<u64>,
+}
+
+impl Events {
+    /// Begins after an event, or at the beginning of a stream.
+    pub fn after(last: Option<u64>) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            last,
+        }
+    }
+
+    /// Identifier of the last whole event that was taken.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Whether an event has begun and is not whole.
+    pub fn is_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Drops an event that has begun.
+    pub fn cut(&mut self) {
+        self.buffer.clear();
+    }
+
+    /// Adds bytes and takes all whole events.
+    ///
+    /// # Errors
+    /// [`Gap`] when identifiers do not go on one by one, or an event is too long.
+    ///
+    /// ```
+    /// use persimmoncroft::serving::stream::Events;
+    /// let mut events = Events::default();
+    /// let whole = events.take(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
+    /// assert_eq!(&whole[..], b"id: 1\ndata: a\n\n");
+    /// assert_eq!(events.last(), Some(1));
+    /// assert!(events.take(b"ta: b\n\nid: 4\ndata: d\n\n").is_err());
+    /// ```
+    pub fn take(&mut self, bytes: &[u8]) -> Result<Bytes, Gap> {
+        let searched = self.buffer.len().saturating_sub(1);
+        self.buffer.extend_from_slice(bytes);
+        let boundary = self.buffer[searched..]
+            .windows(2)
+            .rposition(|pair| pair == b"\n\n");
+        let Some(boundary) = boundary else {
+            return match self.buffer.len() > MAX_EVENT_BYTES {
+                true => Err(Gap),
+                false => Ok(Bytes::new()),
+            };
+        };
+        let whole = self.buffer.split_to(searched + boundary + 2).freeze();
+        for line in whole.split(|byte| *byte == b'\n') {
+            let Some(id) = line.strip_prefix(b"id:") else {
+                continue;
+            };
+            let id = std::str::from_utf8(id)
+                .ok()
+                .and_then(|id| id.trim().parse().ok());
+            let Some(id) = id else {
+                continue;
+            };
+            if self.last.is_some_and(|last| id != last + 1) {
+                return Err(Gap);
+            }
+            self.last = Some(id);
+        }
+        Ok(whole)
+    }
+}
+
+/// An event is missing or came twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Gap;
+
+struct Relay {
+    run: Run,
+    exchange: Option<Box<Exchange>>,
+    events: Events,
+    begun: bool,
+}
+
+/// Answers with an endpoint's stream.
+pub fn answer(run: Run, exchange: Exchange) -> Response<Body> {
+    let parts = passed_on(exchange.parts.clone());
+    run.node.meter.ended("answered", parts.status.as_u16());
+    let relay = Relay {
+        events: Events::after(run.call.last_event),
+        run,
+        exchange: Some(Box::new(exchange)),
+        begun: false,
+    };
+    let chunks = unfold(Some(relay), |state| async move {
+        let mut relay = state?;
+        match relay.next().await {
+            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
+    });
+    Response::from_parts(parts, BodyExt::boxed_unsync(StreamBody::new(chunks)))
+}
+
+/// How waiting for more of a stream ended.
+enum More {
+    Whole(Bytes),
+    Nothing,
+    End,
+    Broken(&'static str),
+}
+
+impl Relay {
+    async fn next(&mut self) -> Result<Option<Bytes>, std::io::Error> {
+        loop {
+            match self.more().await {
+                More::Whole(bytes) => {
+                    self.note_begun();
+                    return Ok(Some(bytes));
+                }
+                More::Nothing => {}
+                More::End => {
+                    if let Some(exchange) = self.exchange.take() {
+                        exchange.finish(&self.run.node);
+                    }
+                    return Ok(None);
+                }
+                More::Broken(reason) => {
+                    if !self.resume(reason).await {
+                        self.run.node.meter.ended(reason, 0);
+                        return Err(std::io::Error::other(reason));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn more(&mut self) -> More {
+        let left = self.run.left();
+        if left.is_zero() {
+            return More::Broken("stream_out_of_time");
+        }
+        let patience = match self.run.may_repeat() {
+            true => left.min((self.run.ticket.route.gap * SILENT_GAPS).max(LEAST_SILENCE)),
+            false => left,
+        };
+        let Some(exchange) = self.exchange.as_mut() else {
+            return More::Broken("stream_lost");
+        };
+        let frame = match timeout(patience, exchange.body.frame()).await {
+            Err(_) => return More::Broken("stream_silent"),
+            Ok(None) if self.events.is_partial() => return More::Broken("stream_cut"),
+            Ok(None) => return More::End,
+            Ok(Some(Err(_))) => return More::Broken("stream_broken"),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        let Ok(data) = frame.into_data() else {
+            return More::Nothing;
+        };
+        match self.events.take(&data) {
+            Ok(whole) if whole.is_empty() => More::Nothing,
+            Ok(whole) => More::Whole(whole),
+            Err(Gap) => More::Broken("stream_gap"),
+        }
+    }
+
+    fn note_begun(&mut self) {
+        if self.begun {
+            return;
+        }
+        self.begun = true;
+        let node = &self.run.node;
+        let elapsed = node.now().saturating_sub(self.run.ticket.arrived);
+        node.meter.first_byte.observe(elapsed.as_secs_f64());
+    }
+
+    /// Goes on at another endpoint after the last whole event.
+    async fn resume(&mut self, reason: &'static str) -> bool {
+        let Some(exchange) = self.exchange.take() else {
+            return false;
+        };
+        let node = self.run.node.clone();
+        let broken = exchange.endpoint.entry.id.clone();
+        exchange.endpoint.track.seen().health.failed(node.now());
+        // Dropping the connection stops the endpoint before another one goes on.
+        drop(exchange);
+        self.events.cut();
+        let last = self.events.last();
+        self.run.tried.push(broken.clone());
+        let mut resumed = false;
+        for _ in 0..MAX_RESUMES {
+            if !self.run.may_repeat() {
+                break;
+            }
+            let Ok(choice) =
+                choose::choose(&node, &self.run.ticket, &self.run.call, &self.run.tried)
+            else {
+                break;
+            };
+            if !self.run.take_retry() {
+                break;
+            }
+            match self.run.send(&choice, last).await {
+                Sent::Answered(exchange) if exchange.parts.status.is_success() => {
+                    node.meter.resumes.inc();
+                    self.exchange = Some(exchange);
+                    resumed = true;
+                    break;
+                }
+                Sent::Answered(_) | Sent::Broken | Sent::Silent | Sent::NotRun | Sent::Unsent => {}
+            }
+        }
+        node.journal.line(|| {
+            format!(
+                "stream: broken request={} reason={reason} endpoint={broken} last_event={} resumed={resumed} runs={}",
+                self.run.call.id,
+                last.map_or(-1, |last| last as i64),
+                self.run.runs
+            )
+        });
+        resumed
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,9 +1,13 @@
 //! Data and its invariants: records, configuration snapshots and ledgers. No sockets, no clock.
 
+pub mod call;
+pub mod catalog;
 pub mod config;
 pub mod decision;
 pub mod demand;
 pub mod document;
 pub mod member;
 pub mod record;
+pub mod roster;
+pub mod row;
 pub mod schema;
--- /dev/null
+++ b/src/transport/exchange.rs
@@ -0,0 +1,256 @@
+//! HTTP/1.1 connections to endpoints and the platform, each under the caller's control: no spare dials, no hidden
+//! reuse, and a clear word on whether a request was written.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+
+use crate::state::record::Name;
+
+/// Time for which written bytes may stay unacknowledged before a connection is given up.
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Silence after which the peer's kernel is probed, and the pause between probes; two unanswered ones end it.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// Unanswered probes that end a connection.
+const KEEPALIVE_RETRIES: u32 = 2;
+
+/// Largest body that is read whole, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// Margin before the peer's idle timeout at which a connection is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Idle time after which a connection is no longer used when the peer states no timeout.
+const IDLE_DEFAULT: Duration = Duration::from_secs(4);
+
+/// Why an exchange failed.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// no connection: {0}
+    Unreachable(std::io::Error),
+    /// no connection within the time allowed
+    ConnectTimeout,
+    /// the request was not written
+    Unsent,
+    /// the connection broke after the request may have been written: {0}
+    Broken(hyper::Error),
+    /// no answer within the time allowed
+    Timeout,
+    /// the body broke off or is too long
+    Body,
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    /// Whether it is certain that the peer received nothing.
+    pub fn is_unsent(&self) -> bool {
+        matches!(
+            self,
+            Self::Unreachable(_) | Self::ConnectTimeout | Self::Unsent
+        )
+    }
+}
+
+/// Sets the time-outs that let a silent peer be noticed.
+///
+/// # Errors
+/// When the socket is already closed.
+pub fn guard(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_RETRIES);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
+/// One connection; dropping it ends whatever runs on it.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Connects within a time.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`] or [`Error::ConnectTimeout`].
+    pub async fn open(address: SocketAddr, within: Duration) -> Result<Self, Error> {
+        let connect = async {
+            let stream = TcpStream::connect(address).await?;
+            guard(&stream)?;
+            Ok(stream)
+        };
+        let stream = timeout(within, connect)
+            .await
+            .map_err(|_| Error::ConnectTimeout)?
+            .map_err(Error::Unreachable)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(Error::Broken)?;
+        let task = tokio::spawn(async move {
+            // How an exchange failed is told to whoever waits for its answer.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Whether another request may be written.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+
+    /// Writes a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// [`Error::Unsent`] if nothing was written, else [`Error::Broken`].
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut error| match error.take_message() {
+            Some(_) => Error::Unsent,
+            None => Error::Broken(error.into_error()),
+        })
+    }
+
+    /// Writes a request and reads the whole answer.
+    ///
+    /// # Errors
+    /// Any [`Error`] of sending and reading.
+    pub async fn fetch(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        let exchange = async {
+            let response = self.send(request).await?;
+            let (parts, body) = response.into_parts();
+            let bytes = read_whole(body).await?;
+            Ok(Response::from_parts(parts, bytes))
+        };
+        timeout(within, exchange)
+            .await
+            .map_err(|_| Error::Timeout)?
+    }
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+/// [`Error::Body`].
+pub async fn read_whole(body: Incoming) -> Result<Bytes, Error> {
+    let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    Ok(collected.map_err(|_| Error::Body)?.to_bytes())
+}
+
+/// Connection to one address that is opened when first used and again after a failure.
+#[derive(Debug)]
+pub struct Line {
+    address: SocketAddr,
+    connection: tokio::sync::Mutex<Option<Connection>>,
+}
+
+impl Line {
+    /// Opens a line; nothing is sent yet.
+    pub fn open(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connection: tokio::sync::Mutex::default(),
+        }
+    }
+
+    /// Sends a request and reads the whole answer; one at a time.
+    ///
+    /// # Errors
+    /// Any [`Error`]; the connection is then given up.
+    pub async fn fetch(
+        &self,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        let mut slot = self.connection.lock().await;
+        let mut connection = match slot.take().filter(Connection::is_ready) {
+            Some(connection) => connection,
+            None => Connection::open(self.address, within).await?,
+        };
+        let response = connection.fetch(request, within).await?;
+        *slot = Some(connection);
+        Ok(response)
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// Idle connections by the start of an endpoint.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: Mutex<HashMap<Name, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// Takes the connection that was used last, if one can still be used.
+    pub fn take(&self, endpoint: &str) -> Option<Connection> {
+        let mut idle = self.idle.lock();
+        let connections = idle.get_mut(endpoint)?;
+        let now = Instant::now();
+        while let Some(last) = connections.pop() {
+            if last.until > now && last.connection.is_ready() {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose exchange is complete, for as long as the peer said.
+    pub fn put(&self, endpoint: &Name, connection: Connection, keep: Option<Duration>) {
+        let keep = keep.map_or(IDLE_DEFAULT, |keep| keep.saturating_sub(IDLE_MARGIN));
+        let until = Instant::now() + keep;
+        let mut idle = self.idle.lock();
+        let connections = idle.entry(endpoint.clone()).or_default();
+        connections.push(Idle { connection, until });
+    }
+
+    /// Drops the connections of endpoints that are gone, and those idle for too long.
+    pub fn prune(&self, keep: impl Fn(&Name) -> bool) {
+        let now = Instant::now();
+        let mut idle = self.idle.lock();
+        idle.retain(|endpoint, connections| {
+            connections.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
+            keep(endpoint) && !connections.is_empty()
+        });
+    }
+}
