Place models by load per copy, without coming and going

Cause: in one plan the same model was unloaded from several engines, batch models took second copies from busy ones, and a forecast doubled all demand while traffic began; models were reloaded 0.3 s after they had left. Change: load as a share of an engine's time, one task unloads and loads, fresh copies stay, spare copies only where room is left; shorter lease terms; reports are read again before a new holder's first order.

--- a/src/coordination/stock.rs
+++ b/src/coordination/stock.rs
@@ -8,13 +8,22 @@
 
 use crate::state::record::Name;
 
-/// Share of an engine's slots that one model's work fills before another copy is wanted.
-const COPY_SHARE: f64 = 0.15;
+/// Load of one copy, as a share of an engine's time, above which another copy is wanted.
+pub const COPY_LOAD: f64 = 0.2;
 
-/// Work, in running requests, from which a model has two copies so that the loss of one stops nothing.
-const SPARE_WORK: f64 = 0.5;
+/// Load of one copy up to which a model may lose one; the distance to [`COPY_LOAD`] keeps copies from coming and going.
+const KEPT_LOAD: f64 = 0.3;
 
-/// Work per copy of a victim, as a share of that of the model that takes its place, up to which it may yield.
+/// Load from which a model has two copies so that the loss of one stops nothing.
+const PAIR_LOAD: f64 = 0.04;
+
+/// Load from which a model gets a second copy where there is room for it anyway.
+const SPARE_LOAD: f64 = 0.001;
+
+/// Places for adapters in use that a model's copies should have, as a multiple of their number.
+const PLACES_PER_ADAPTER: f64 = 1.15;
+
+/// Load per copy that remains of a victim, as a share of that of the model in its place, up to which it may yield.
 const YIELD_SHARE: f64 = 0.3;
 
 /// Time for which an adapter stays after its last use before it may yield to another.
@@ -33,10 +42,14 @@
     pub places: usize,
     /// Models that it holds, with their adapters and when each was last asked for.
     pub models: BTreeMap<Name, BTreeMap<Name, Duration>>,
+    /// Models that came a short while ago and stay for now.
+    pub fresh: BTreeSet<Name>,
     /// Models whose weights it keeps in its own memory or disk.
     pub cached: BTreeSet<Name>,
-    /// Whether an order is under way.
+    /// Whether a change of its models has to wait.
     pub busy: bool,
+    /// Whether an order for an adapter has to wait.
+    pub ordering: bool,
     /// Whether requests can be sent to it.
     pub usable: bool,
 }
@@ -48,29 +61,23 @@
     pub megabytes: f64,
     /// Memory of one adapter, in MB.
     pub adapter_megabytes: f64,
-    /// Work asked of it, in running requests.
-    pub work: f64,
+    /// Load of all its requests together, as a share of one engine's time.
+    pub load: f64,
+    /// Adapters that requests have asked for of late.
+    pub adapters: usize,
 }
 
-/// An order to one engine.
+/// A change at one engine: models that leave it, and the one that takes their place.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Step {
-    /// Load a model.
-    Load {
-        /// Engine.
-        engine: Name,
-        /// Model.
-        model: Name,
-        /// Whether the weights come from the weight store.
-        from_store: bool,
-    },
-    /// Unload a model.
-    Unload {
-        /// Engine.
-        engine: Name,
-        /// Model.
-        model: Name,
-    },
+pub struct Step {
+    /// Engine.
+    pub engine: Name,
+    /// Models that leave first.
+    pub unload: Vec<Name>,
+    /// Model that is loaded.
+    pub load: Name,
+    /// Whether the weights come from the weight store.
+    pub from_store: bool,
 }
 
 /// Engines, models and what is under way.
@@ -82,8 +89,6 @@
     pub needs: HashMap<Name, Need>,
     /// Loads under way: engine and model.
     pub loading: Vec<(Name, Name)>,
-    /// Requests that one engine runs at once.
-    pub slots: f64,
 }
 
 impl Stock {
@@ -95,30 +100,37 @@
         held.count() + loading.count()
     }
 
-    /// Copies that a model's work asks for.
+    /// Copies that a model should have.
     pub fn wanted(&self, model: &str) -> usize {
+        self.copies_at(model, COPY_LOAD)
+    }
+
+    fn copies_at(&self, model: &str, load_per_copy: f64) -> usize {
         let Some(need) = self.needs.get(model) else {
             return 0;
         };
-        let engines = self.engines.iter().filter(|engine| engine.usable).count();
-        let by_work = (need.work / (self.slots * COPY_SHARE).max(1.0)).ceil() as usize;
-        let least = if need.work >= SPARE_WORK { 2 } else { 1 };
-        by_work.max(least).min(engines.max(1))
+        let usable = || self.engines.iter().filter(|engine| engine.usable);
+        let by_load = (need.load / load_per_copy).ceil() as usize;
+        let places = usable().map(|engine| engine.places).max().unwrap_or(0).max(1);
+        let by_adapters = (need.adapters as f64 * PLACES_PER_ADAPTER / places as f64).ceil() as usize;
+        let least = if need.load >= PAIR_LOAD { 2 } else { 1 };
+        let copies = by_load.max(by_adapters).max(least);
+        copies.min(usable().count().max(1))
     }
 
-    /// The next step, or none when all is well or nothing can be done now.
+    /// The next step, or none when all is well or nothing can be done now; loads from the weight store only if they
+    /// may begin.
     ///
     /// ```
-    /// use persimmoncroft::coordination::stock::{Engine, Need, Step, Stock};
+    /// use persimmoncroft::coordination::stock::{Engine, Need, Stock};
     /// let engine = Engine { id: "e".into(), megabytes: 80.0, usable: true, ..Engine::default() };
-    /// let need = Need { megabytes: 40.0, adapter_megabytes: 1.0, work: 0.0 };
-    /// let stock = Stock {
-    ///     engines: vec![engine], needs: [("m".into(), need)].into(), slots: 64.0, ..Stock::default()
-    /// };
-    /// let load = Step::Load { engine: "e".into(), model: "m".into(), from_store: true };
-    /// assert_eq!(stock.step(), Some(load));
+    /// let need = Need { megabytes: 40.0, adapter_megabytes: 1.0, load: 0.0, adapters: 0 };
+    /// let stock = Stock { engines: vec![engine], needs: [("m".into(), need)].into(), ..Stock::default() };
+    /// assert!(stock.step(false).is_none());
+    /// let step = stock.step(true).unwrap();
+    /// assert_eq!((&*step.load, step.unload.len(), step.from_store), ("m", 0, true));
     /// ```
-    pub fn step(&self) -> Option<Step> {
+    pub fn step(&self, store: bool) -> Option<Step> {
         let mut short: Vec<(&Name, f64)> = self
             .needs
             .iter()
@@ -126,73 +138,85 @@
                 let copies = self.copies(model);
                 let urgency = match copies {
                     0 => f64::MAX,
-                    _ => need.work / copies as f64,
+                    _ => need.load / copies as f64,
                 };
                 (copies < self.wanted(model)).then_some((model, urgency))
             })
             .collect();
         short.sort_by(|a, b| b.1.total_cmp(&a.1).then_with(|| a.0.cmp(b.0)));
-        short.iter().find_map(|(model, _)| self.place(model))
+        let needed = short
+            .iter()
+            .find_map(|(model, _)| self.place(model, store, true));
+        needed.or_else(|| self.spare(store))
     }
 
-    fn place(&self, model: &Name) -> Option<Step> {
+    /// A second copy for a model that is asked for, where there is room without unloading anything.
+    fn spare(&self, store: bool) -> Option<Step> {
+        let single = self.needs.iter().filter(|(model, need)| {
+            need.load >= SPARE_LOAD && self.copies(model) == 1
+        });
+        let mut single: Vec<(&Name, f64)> = single.map(|(model, need)| (model, need.load)).collect();
+        single.sort_by(|a, b| b.1.total_cmp(&a.1).then_with(|| a.0.cmp(b.0)));
+        single
+            .iter()
+            .find_map(|(model, _)| self.place(model, store, false))
+    }
+
+    fn place(&self, model: &Name, store: bool, unload: bool) -> Option<Step> {
         let need = self.needs.get(model)?;
         let open = self.engines.iter().filter(|engine| {
             engine.usable
                 && !engine.busy
                 && !engine.models.contains_key(model)
                 && engine.megabytes >= need.megabytes
+                && (store || engine.cached.contains(model))
         });
-        let best = open
-            .filter_map(|engine| Some((engine, self.room(engine, model, need)?)))
-            .min_by(|(one, a), (other, b)| {
-                let key = |engine: &Engine, victims: &Vec<Name>| {
-                    (
-                        self.zone_copies(model, &engine.zone),
-                        !engine.cached.contains(model),
-                        victims.len(),
-                    )
-                };
-                let work = |engine: &Engine| self.work(engine);
-                key(one, a)
-                    .cmp(&key(other, b))
-                    .then_with(|| work(one).total_cmp(&work(other)))
-                    .then_with(|| one.id.cmp(&other.id))
-            });
-        let (engine, victims) = best?;
-        let step = match victims.into_iter().next() {
-            Some(victim) => Step::Unload {
-                engine: engine.id.clone(),
-                model: victim,
-            },
-            None => Step::Load {
-                engine: engine.id.clone(),
-                model: model.clone(),
-                from_store: !engine.cached.contains(model),
-            },
+        let options = open.filter_map(|engine| {
+            let leaving = self.room(engine, model, need)?;
+            (unload || leaving.is_empty()).then_some((engine, leaving))
+        });
+        let key = |engine: &Engine, victims: &Vec<Name>| {
+            (
+                self.zone_copies(model, &engine.zone),
+                !engine.cached.contains(model),
+                victims.len(),
+            )
         };
-        Some(step)
+        let best = options.min_by(|(one, a), (other, b)| {
+            key(one, a)
+                .cmp(&key(other, b))
+                .then_with(|| self.load(one).total_cmp(&self.load(other)))
+                .then_with(|| one.id.cmp(&other.id))
+        });
+        best.map(|(engine, unload)| Step {
+            engine: engine.id.clone(),
+            unload,
+            load: model.clone(),
+            from_store: !engine.cached.contains(model),
+        })
     }
 
-    /// Models that have to leave an engine for another one, least worth first; none if too few may.
+    /// Models that have to leave an engine for another one, least loaded first; none if too few may.
     fn room(&self, engine: &Engine, model: &Name, need: &Need) -> Option<Vec<Name>> {
         let mut free = self.free(engine);
         if free >= need.megabytes {
             return Some(Vec::new());
         }
-        let relief = need.work / (self.copies(model) + 1) as f64;
+        let relief = need.load / (self.copies(model) + 1) as f64;
         let alone = self.copies(model) == 0;
         let mut victims: Vec<(&Name, f64)> = engine
             .models
             .keys()
             .filter_map(|held| {
+                let Some(victim) = self.needs.get(held) else {
+                    return Some((held, 0.0));
+                };
                 let copies = self.copies(held);
-                let work = self.needs.get(held).map_or(0.0, |need| need.work);
-                let load = work / copies.saturating_sub(1).max(1) as f64;
-                let spared = copies >= 2
-                    && (copies > self.wanted(held) || alone || load < relief * YIELD_SHARE);
-                let unknown = !self.needs.contains_key(held);
-                (spared || unknown).then_some((held, load))
+                let left = victim.load / copies.saturating_sub(1).max(1) as f64;
+                let spared = copies > self.copies_at(held, KEPT_LOAD);
+                let yields = copies > 2 && left < relief * YIELD_SHARE;
+                let settled = alone || !engine.fresh.contains(held);
+                (copies >= 2 && settled && (spared || alone || yields)).then_some((held, left))
             })
             .collect();
         victims.sort_by(|a, b| a.1.total_cmp(&b.1));
@@ -223,10 +247,11 @@
         engine.megabytes - held - reserved
     }
 
-    fn work(&self, engine: &Engine) -> f64 {
+    /// Load of an engine by its copies' parts.
+    fn load(&self, engine: &Engine) -> f64 {
         let per_copy = |model: &Name| {
-            let work = self.needs.get(model).map_or(0.0, |need| need.work);
-            work / self.copies(model).max(1) as f64
+            let load = self.needs.get(model).map_or(0.0, |need| need.load);
+            load / self.copies(model).max(1) as f64
         };
         engine.models.keys().map(per_copy).sum()
     }
@@ -263,7 +288,7 @@
 ) -> Option<Berth> {
     let open = engines.iter().filter(|engine| {
         engine.usable
-            && !engine.busy
+            && !engine.ordering
             && engine
                 .models
                 .get(model)
--- a/src/protocol/digest.rs
+++ b/src/protocol/digest.rs
@@ -78,9 +78,9 @@
 /// Demand that one daemon has seen.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize, Serialize)]
 pub struct Demand {
-    /// Work offered by model, in milliseconds of a running request.
+    /// Tokens offered by model: prompts, and generated ones at most.
     #[serde(rename = "w", default)]
-    pub work: BTreeMap<Name, u64>,
+    pub tokens: BTreeMap<Name, (u64, u64)>,
     /// Requests offered by model and adapter.
     #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
     pub adapters: Vec<(Name, Name, u32)>,
--- a/src/serving/accept.rs
+++ b/src/serving/accept.rs
@@ -117,7 +117,6 @@
 }
 
 async fn call(node: &Arc<Node>, request: Request<Incoming>) -> Response<Body> {
-    let _in_flight = node.requests.token();
     let arrived = node.now();
     let mut response = match read(node, request).await {
         Ok((parts, body)) => route(node, parts, body, arrived).await,
--- a/src/serving/demand.rs
+++ b/src/serving/demand.rs
@@ -9,12 +9,6 @@
 use crate::state::call::Call;
 use crate::state::record::Name;
 
-/// Prompt tokens that an engine reads in a millisecond.
-const READ_TOKENS_PER_MILLI: u64 = 35;
-
-/// Time of one output token, in milliseconds.
-const MILLIS_PER_TOKEN: u64 = 7;
-
 /// Demand since it was last taken.
 #[derive(Debug, Default)]
 pub struct Demand {
@@ -25,7 +19,7 @@
 
 #[derive(Debug, Default)]
 struct Counts {
-    work: BTreeMap<Name, u64>,
+    tokens: BTreeMap<Name, (u64, u64)>,
     adapters: HashMap<(Name, Name), u32>,
     wanted: Vec<(Name, Name)>,
 }
@@ -36,10 +30,10 @@
         let Some(generation) = &call.generation else {
             return;
         };
-        let reading = generation.prompt_tokens / READ_TOKENS_PER_MILLI;
-        let work = reading + generation.output_tokens * MILLIS_PER_TOKEN;
         let mut counts = self.counts.lock();
-        *counts.work.entry(generation.model.clone()).or_default() += work.max(1);
+        let tokens = counts.tokens.entry(generation.model.clone()).or_default();
+        tokens.0 += generation.prompt_tokens.max(1);
+        tokens.1 += generation.output_tokens;
         if let Some(adapter) = &generation.adapter {
             let key = (generation.model.clone(), adapter.clone());
             *counts.adapters.entry(key).or_default() += 1;
@@ -67,7 +61,7 @@
         let mut counts = self.counts.lock();
         let adapters = std::mem::take(&mut counts.adapters).into_iter();
         digest::Demand {
-            work: std::mem::take(&mut counts.work),
+            tokens: std::mem::take(&mut counts.tokens),
             adapters: adapters
                 .map(|((model, adapter), count)| (model, adapter, count))
                 .collect(),
--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -5,7 +5,7 @@
 
 use super::adapter::Report;
 use super::endpoint::View;
-use crate::coordination::stock::{self, Engine, Need, Stock};
+use crate::coordination::stock::{self, COPY_LOAD, Engine, Need, Stock};
 use crate::protocol::digest::{Demand, Holding};
 use crate::state::catalog::Service;
 use crate::state::record::Name;
@@ -16,9 +16,33 @@
 /// Time constant of the slow average of demand.
 const SLOW: f64 = 8.0;
 
+/// Factor over the quick average, since demand that rises goes on rising.
+const HEADROOM: f64 = 1.25;
+
+/// Time for which a model stays after it was loaded, unless another one has no copy at all.
+const FRESH: Duration = Duration::from_secs(5);
+
+/// Prompt tokens that an engine reads in a second with its largest model.
+const READ_TOKENS_PER_SECOND: f64 = 38_000.0;
+
+/// Time of one generated token of one request, in seconds.
+const SECONDS_PER_TOKEN: f64 = 0.006;
+
+/// Share of its slots that an engine fills while events stay on time.
+const SLOTS_IN_TIME: f64 = 0.6;
+
+/// Time for which an adapter counts as in use after it was asked for.
+const IN_USE: Duration = Duration::from_secs(6);
+
 /// Copies of each adapter of a busy model that are placed ahead of demand.
 const ADAPTER_COPIES: usize = 2;
 
+/// Pause before the report of an engine that carries out an unknown order is read again.
+const BUSY_REST: Duration = Duration::from_millis(400);
+
+/// Load from which a model's adapters are placed ahead of demand.
+const BUSY_LOAD: f64 = 0.05;
+
 /// Copies from which a model without known demand is taken as busy.
 const BUSY_COPIES: usize = 3;
 
@@ -28,19 +52,19 @@
 /// Loads that an earlier holder may have begun within the window.
 const LOADS_OF_OTHERS: usize = 4;
 
-/// Work of a model, averaged in two ways.
+/// A rate, averaged in two ways.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-struct Work {
+struct Rate {
     quick: f64,
     slow: f64,
     at: Duration,
 }
 
-impl Work {
-    fn add(&mut self, millis: f64, now: Duration) {
+impl Rate {
+    fn add(&mut self, amount: f64, now: Duration) {
         self.decay(now);
-        self.quick += millis / 1000.0 / QUICK;
-        self.slow += millis / 1000.0 / SLOW;
+        self.quick += amount / QUICK;
+        self.slow += amount / SLOW;
     }
 
     fn decay(&mut self, now: Duration) {
@@ -50,10 +74,10 @@
         self.at = self.at.max(now);
     }
 
-    /// Running requests to be expected: quick to rise, slow to fall.
+    /// Amount per second to be expected: quick to rise, slow to fall.
     fn forecast(&mut self, now: Duration) -> f64 {
         self.decay(now);
-        (self.quick + (self.quick - self.slow).max(0.0)).max(self.slow)
+        (self.quick * HEADROOM).max(self.slow)
     }
 }
 
@@ -66,10 +90,14 @@
     pub sequence: Option<u64>,
     /// Models, their adapters, and when each adapter was last asked for.
     pub models: BTreeMap<Name, BTreeMap<Name, Duration>>,
+    /// When models were seen first.
+    pub since: HashMap<Name, Duration>,
     /// Models that load without the weight store.
     pub cached: BTreeSet<Name>,
-    /// Whether an order or a report is under way.
+    /// Whether a change of models or the reading of a report is under way.
     pub busy: bool,
+    /// Whether an order for an adapter is under way, or one for a model that is not accepted yet.
+    pub ordering: bool,
     /// No order is sent before this time, after one was refused.
     pub rest_until: Duration,
 }
@@ -83,7 +111,8 @@
     pub loading: Vec<(Name, Name, bool)>,
     /// Adapters that requests wait for, with the zone of the first.
     pub wanted: Vec<(Name, Name, Name)>,
-    work: HashMap<Name, Work>,
+    /// Prompt and generated tokens per second by model.
+    rates: HashMap<Name, (Rate, Rate)>,
     uses: HashMap<(Name, Name), Duration>,
     store_loads: VecDeque<Duration>,
 }
@@ -99,9 +128,10 @@
 
     /// Takes in demand.
     pub fn learn(&mut self, demand: &Demand, now: Duration) {
-        for (model, millis) in &demand.work {
-            let work = self.work.entry(model.clone()).or_default();
-            work.add(*millis as f64, now);
+        for (model, (prompt, output)) in &demand.tokens {
+            let (read, generated) = self.rates.entry(model.clone()).or_default();
+            read.add(*prompt as f64, now);
+            generated.add(*output as f64, now);
         }
         for (model, adapter, _) in &demand.adapters {
             self.uses.insert((model.clone(), adapter.clone()), now);
@@ -119,6 +149,7 @@
         &mut self,
         view: &View,
         services: &HashMap<Name, std::sync::Arc<Service>>,
+        now: Duration,
     ) -> Vec<Name> {
         let is_engine = |id: &Name| {
             let endpoint = view.all.get(id)?;
@@ -139,7 +170,9 @@
         let unread = self
             .accounts
             .iter_mut()
-            .filter(|(_, account)| account.sequence.is_none() && !account.busy);
+            .filter(|(_, account)| {
+                account.sequence.is_none() && !account.busy && account.rest_until <= now
+            });
         let unread = unread.map(|(id, account)| {
             account.busy = true;
             id.clone()
@@ -169,6 +202,11 @@
             (model.clone(), adapters)
         });
         account.models = models.collect();
+        let known = account.since.clone();
+        let names = account.models.keys();
+        account.since = names
+            .map(|model| (model.clone(), known.get(model).copied().unwrap_or(now)))
+            .collect();
         for (model, adapter) in report.pending {
             account
                 .models
@@ -177,28 +215,52 @@
                 .insert(adapter, now);
         }
         account.cached = report.cached.into_iter().collect();
+        if report.busy && account.sequence.is_none() {
+            // What an order of an earlier holder will leave there is not known yet.
+            account.rest_until = now + BUSY_REST;
+            return false;
+        }
         account.sequence = Some(report.sequence);
         true
     }
 
+    /// Forgets the numbers of accepted orders, so that every report is read again before the first order.
+    pub fn confirm(&mut self) {
+        for account in self.accounts.values_mut() {
+            account.sequence = None;
+            account.rest_until = Duration::ZERO;
+        }
+    }
+
     /// What the planner needs to know.
     pub fn stock(&mut self, view: &View, service: &Service, now: Duration) -> Stock {
         let Some(engine) = &service.engine else {
             return Stock::default();
         };
-        let needs = engine.models.iter().map(|(name, model)| {
-            let work = self
-                .work
-                .get_mut(name)
-                .map_or(0.0, |work| work.forecast(now));
+        let largest = engine.models.values().map(|model| model.megabytes);
+        let largest = largest.fold(1.0, f64::max);
+        let mut needs = HashMap::new();
+        for (name, model) in &engine.models {
+            let uses = self.uses.iter();
+            let in_use = uses.filter(|((of, _), used)| of == name && **used + IN_USE > now);
+            let adapters = in_use.count();
+            let rates = self.rates.get_mut(name);
+            let (read, generated) = rates.map_or((0.0, 0.0), |(read, generated)| {
+                (read.forecast(now), generated.forecast(now))
+            });
+            // Smaller models run faster, about in proportion to their weights.
+            let pace = model.megabytes / largest;
+            let reading = read / READ_TOKENS_PER_SECOND;
+            let running = generated * SECONDS_PER_TOKEN;
+            let crowd = running / (f64::from(engine.slots) * SLOTS_IN_TIME);
             let need = Need {
                 megabytes: model.megabytes,
                 adapter_megabytes: model.adapter_megabytes,
-                work,
+                load: reading.max(crowd * COPY_LOAD) * pace,
+                adapters,
             };
-            (name.clone(), need)
-        });
-        let needs = needs.collect();
+            needs.insert(name.clone(), need);
+        }
         let usable = view.services.get(&service.name);
         let is_usable = |id: &Name| {
             usable.is_some_and(|usable| usable.iter().any(|endpoint| endpoint.entry.id == *id))
@@ -211,8 +273,20 @@
                 megabytes: engine.megabytes,
                 places: engine.adapter_places,
                 models: account.models.clone(),
+                fresh: account
+                    .since
+                    .iter()
+                    .filter(|(_, since)| **since + FRESH > now)
+                    .map(|(model, _)| model.clone())
+                    .collect(),
                 cached: account.cached.clone(),
-                busy: account.busy || account.sequence.is_none() || account.rest_until > now,
+                busy: account.busy
+                    || account.ordering
+                    || account.sequence.is_none()
+                    || account.rest_until > now,
+                ordering: account.ordering
+                    || account.sequence.is_none()
+                    || account.rest_until > now,
                 usable: is_usable(id),
             })
         });
@@ -224,7 +298,6 @@
             engines: engines.collect(),
             needs,
             loading: loading.collect(),
-            slots: f64::from(engine.slots),
         }
     }
 
@@ -253,13 +326,13 @@
         let mut open: Vec<&Engine> = stock
             .engines
             .iter()
-            .filter(|engine| engine.usable && !engine.busy && places_left(engine) > 0)
+            .filter(|engine| engine.usable && !engine.ordering && places_left(engine) > 0)
             .collect();
         open.sort_by_key(|engine| std::cmp::Reverse(places_left(engine)));
         for engine in open {
             let busy = engine.models.keys().filter(|model| {
-                let work = stock.needs.get(*model).map_or(0.0, |need| need.work);
-                work > 1.0 || stock.copies(model) >= BUSY_COPIES
+                let load = stock.needs.get(*model).map_or(0.0, |need| need.load);
+                load > BUSY_LOAD || stock.copies(model) >= BUSY_COPIES
             });
             let options = busy.flat_map(|model| {
                 let adapters = models.get(model).map_or(&[][..], |model| &model.adapters);
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -27,6 +27,8 @@
     pub retries: Counter,
     /// Streams that went on at another endpoint.
     pub resumes: Counter,
+    /// Streams that were complete but not on time.
+    pub late: Counter,
     /// New connections to endpoints.
     pub connects: Counter,
     /// Calls to the platform's store.
@@ -49,6 +51,7 @@
             first_byte: Histogram::new(exponential_buckets(0.002, 2.0, 14)),
             retries: Counter::default(),
             resumes: Counter::default(),
+            late: Counter::default(),
             connects: Counter::default(),
             store_calls: Counter::default(),
             orders: Counter::default(),
@@ -69,6 +72,7 @@
             "Streams resumed elsewhere",
             meter.resumes.clone(),
         );
+        registry.register("late", "Complete streams not on time", meter.late.clone());
         registry.register(
             "connects",
             "New connections to endpoints",
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -47,13 +47,13 @@
 use crate::transport::{gossip, peer};
 
 /// Timeout of a write to the store.
-const COMMIT_TIMEOUT: Duration = Duration::from_millis(1200);
+const COMMIT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Interval at which idle connections are looked through and dropped log lines are counted.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time after SIGTERM for which new connections are still accepted: the platform's balancer misses two checks first.
-const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(3200);
+const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(2500);
 
 /// Time before the end of the grace at which requests that still run are cut.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
@@ -121,7 +121,7 @@
     pub closing: CancellationToken,
     /// Cancelled when background duties stop.
     pub stopped: CancellationToken,
-    /// Connections of callers.
+    /// Connections of callers and of the platform's checks; each ends after its last answer was written.
     pub connections: TaskTracker,
     /// Requests in flight.
     pub requests: TaskTracker,
@@ -296,10 +296,10 @@
         tokio::time::sleep(ACCEPT_AFTER_TERM.min(node.settings.grace / 2)).await;
         self.accepting.cancel();
         node.closing.cancel();
-        node.requests.close();
+        node.connections.close();
         let left = node.settings.grace.saturating_sub(GRACE_MARGIN);
         let left = left.saturating_sub(started.elapsed());
-        let finished = tokio::time::timeout(left, node.requests.wait()).await;
+        let finished = tokio::time::timeout(left, node.connections.wait()).await;
         node.stopped.cancel();
         spdlog::info!(
             "daemon: stopped name={} requests_cut={}",
--- a/src/serving/placer.rs
+++ b/src/serving/placer.rs
@@ -1,6 +1,7 @@
 //! The duty to place models and adapters: one daemon holds it by a lease in the store and orders engines.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +15,7 @@
 use super::peers;
 use super::{Node, spread};
 use crate::coordination::election::{Election, Lease, Step as Claim};
-use crate::coordination::stock::Step;
+use crate::coordination::stock::{Step, Stock};
 use crate::protocol::digest::{Body, Demand, Holding};
 use crate::state::catalog::Service;
 use crate::state::record::Name;
@@ -31,11 +32,14 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Interval between two looks at the lease while no placer is heard.
-const LOOK_INTERVAL: Duration = Duration::from_millis(600);
+const LOOK_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Head start of each daemon over the next in order when the duty is free.
 const TURN: Duration = Duration::from_millis(200);
 
+/// Terms of the holder's row in the time for which nobody else may order after its last order.
+const TERMS_PER_LEASE: u32 = 2;
+
 /// Margin beyond the lease before the first order of a new holder.
 const MARGIN: Duration = Duration::from_millis(400);
 
@@ -86,6 +90,8 @@
     /// Time from which this holder may order.
     from: Mutex<Duration>,
     fence: Mutex<u64>,
+    /// Whether reports were read again since this holder may order.
+    confirmed: AtomicBool,
     urgent: Notify,
 }
 
@@ -93,10 +99,11 @@
     /// Opens the duty, held by nobody.
     pub fn open(lease: Duration) -> Self {
         Self {
-            election: Mutex::new(Election::open(lease)),
+            election: Mutex::new(Election::open(lease / TERMS_PER_LEASE)),
             ledger: Mutex::default(),
             from: Mutex::default(),
             fence: Mutex::default(),
+            confirmed: AtomicBool::default(),
             urgent: Notify::default(),
         }
     }
@@ -153,7 +160,7 @@
                     () = sleep(PLAN_INTERVAL) => {}
                     () = node.placer.urgent.notified() => {}
                 }
-                if node.placer.may_order(&node) && !node.leaving.is_cancelled() {
+                if node.placer.is_holder(&node) && !node.leaving.is_cancelled() {
                     plan(&node);
                     let now = node.now();
                     if told + TELL_INTERVAL < now {
@@ -191,76 +198,102 @@
             return LOOK_INTERVAL;
         }
     }
-    match claim(node, line, holds).await {
-        Ok(()) => {}
-        Err(error) => {
-            node.journal
-                .line(|| format!("placer: lease not written error=\"{error}\""));
-        }
+    if let Err(error) = claim(node, line, holds).await {
+        node.journal
+            .line(|| format!("placer: lease not written error=\"{error}\""));
     }
     spread(LOOK_INTERVAL)
 }
 
-/// Reads the lease, and writes it if it is this daemon's or free.
+/// Writes the lease if it is this daemon's or free.
 async fn claim(node: &Arc<Node>, line: &Line, held: bool) -> Result<(), feed::Error> {
-    let session: Name = format!("{}/{}", node.settings.name, node.session).into();
-    let asked = node.boot_now();
     let version = node.placer.election.lock().version();
-    let step = match version.filter(|_| held) {
-        Some(version) => Claim::Claim {
-            fence: *node.placer.fence.lock(),
-            version: Some(version),
-        },
-        None => {
-            let page = feed::list(node, line, TABLE).await?;
-            let row = page.rows.iter().find(|row| &*row.key == KEY);
-            let lease = row.and_then(|row| {
-                let lease: Lease = serde_json::from_slice(row.value.as_ref()?).ok()?;
-                Some((lease, row.version))
-            });
-            let lease = lease.as_ref().map(|(lease, version)| (lease, *version));
-            node.placer.election.lock().judge(lease, &session, asked)
+    if let Some(version) = version.filter(|_| held) {
+        let fence = *node.placer.fence.lock();
+        let asked = node.boot_now();
+        match write(node, line, fence, Some(version)).await {
+            Ok(Some(version)) => {
+                let mut election = node.placer.election.lock();
+                election.claimed(fence, version, asked);
+                return Ok(());
+            }
+            // The write may have been applied, or another daemon has written; the row tells.
+            Ok(None) => {}
+            Err(error) => {
+                node.journal
+                    .line(|| format!("placer: lease not renewed error=\"{error}\""));
+            }
         }
-    };
+    }
+    let asked = node.boot_now();
+    let page = feed::list(node, line, TABLE).await?;
+    let row = page.rows.iter().find(|row| &*row.key == KEY);
+    let lease = row.and_then(|row| {
+        let lease: Lease = serde_json::from_slice(row.value.as_ref()?).ok()?;
+        Some((lease, row.version))
+    });
+    let session = session(node);
+    // A row of this session that it never knew it had written begins the duty, too.
+    let begun = *node.placer.fence.lock();
+    let goes_on = lease
+        .as_ref()
+        .is_some_and(|(lease, _)| lease.session == session && lease.fence == begun);
+    let lease = lease.as_ref().map(|(lease, version)| (lease, *version));
+    let step = node.placer.election.lock().judge(lease, &session, asked);
     let Claim::Claim { fence, version } = step else {
-        return Ok(());
-    };
-    let lease = Lease {
-        session,
-        address: node.gossip_address,
-        fence,
-    };
-    let written = write(node, line, &lease, version).await?;
-    let Some(new_version) = written else {
         if held {
-            spdlog::warn!("placer: lease lost fence={fence}");
+            spdlog::warn!("placer: lease lost");
         }
-        node.placer.election.lock().lost();
         return Ok(());
     };
-    node.placer
-        .election
-        .lock()
-        .claimed(fence, new_version, asked);
-    if !held {
-        // Nobody may order within the lease of an earlier holder's last order; a fresh fleet has none.
-        let wait = match version {
-            None => Duration::ZERO,
-            Some(_) => node.settings.placement_lease + MARGIN,
-        };
-        *node.placer.fence.lock() = fence;
-        *node.placer.from.lock() = asked + wait;
-        node.placer.ledger.lock().begin(node.now());
-        spdlog::info!(
-            "placer: lease taken fence={fence} orders_in_ms={}",
-            wait.as_millis()
-        );
+    let Some(new_version) = write(node, line, fence, version).await? else {
+        return Ok(());
+    };
+    let mut election = node.placer.election.lock();
+    election.claimed(fence, new_version, asked);
+    drop(election);
+    if !goes_on {
+        begin_duty(node, fence, version, asked);
     }
     Ok(())
 }
 
+/// Begins the duty: nobody may order within the lease of an earlier holder's last order; a fresh fleet had none.
+fn begin_duty(node: &Node, fence: u64, earlier: Option<u64>, asked: Duration) {
+    let wait = match earlier {
+        None => Duration::ZERO,
+        Some(_) => node.settings.placement_lease + MARGIN,
+    };
+    *node.placer.fence.lock() = fence;
+    *node.placer.from.lock() = asked + wait;
+    node.placer.confirmed.store(false, Ordering::Relaxed);
+    node.placer.ledger.lock().begin(node.now());
+    spdlog::info!(
+        "placer: lease taken fence={fence} orders_in_ms={}",
+        wait.as_millis()
+    );
+}
+
+fn session(node: &Node) -> Name {
+    format!("{}/{}", node.settings.name, node.session).into()
+}
+
 /// Writes the lease if its row is at a version; returns the new version, or none if it is not.
 async fn write(
+    node: &Node,
+    line: &Line,
+    fence: u64,
+    version: Option<u64>,
+) -> Result<Option<u64>, feed::Error> {
+    let lease = Lease {
+        session: session(node),
+        address: node.gossip_address,
+        fence,
+    };
+    write_row(node, line, &lease, version).await
+}
+
+async fn write_row(
     node: &Node,
     line: &Line,
     lease: &Lease,
@@ -278,7 +311,9 @@
 async fn release(node: &Node, line: &Line) {
     let held = {
         let mut election = node.placer.election.lock();
-        let held = election.holds(node.boot_now()).then(|| election.version());
+        let held = election
+            .holds(node.boot_now())
+            .then(|| election.version());
         election.lost();
         held.flatten()
     };
@@ -290,7 +325,7 @@
         address: node.gossip_address,
         fence: *node.placer.fence.lock(),
     };
-    match write(node, line, &lease, Some(version)).await {
+    match write_row(node, line, &lease, Some(version)).await {
         Ok(_) => spdlog::info!("placer: lease released fence={}", lease.fence),
         Err(error) => spdlog::warn!("placer: lease not released error=\"{error}\""),
     }
@@ -304,9 +339,15 @@
     };
     let view = node.belief.view.load_full();
     let mut ledger = node.placer.ledger.lock();
-    for id in ledger.follow(&view, &catalog.services) {
+    if node.placer.may_order(node) && !node.placer.confirmed.swap(true, Ordering::Relaxed) {
+        ledger.confirm();
+    }
+    for id in ledger.follow(&view, &catalog.services, now) {
         tokio::spawn(read(node.clone(), id));
     }
+    if !node.placer.may_order(node) {
+        return;
+    }
     let engines = catalog.services.values().filter(|s| s.engine.is_some());
     for service in engines {
         plan_adapters(node, &mut ledger, service, &view, now);
@@ -368,45 +409,36 @@
     };
     loop {
         let mut stock = ledger.stock(view, service, now);
-        let Some(step) = stock.step() else {
+        let window = node.settings.load_window;
+        let store = ledger.may_load(engine.loads_per_second, window, now);
+        let Some(step) = stock.step(store) else {
             return;
         };
-        match step {
-            Step::Load {
-                engine: id,
-                model,
-                from_store,
-            } => {
-                let per_second = engine.loads_per_second;
-                let window = node.settings.load_window;
-                if from_store && !ledger.may_load(per_second, window, now) {
-                    return;
-                }
-                if from_store {
-                    ledger.note_load(now);
-                }
-                begin(ledger, &mut stock, &id);
-                ledger.loading.push((id.clone(), model.clone(), from_store));
-                let expected = match (from_store, engine.models.get(&model)) {
-                    (true, Some(model)) => model.load_time,
-                    _ => CACHED_LOAD,
-                };
-                tokio::spawn(load(node.clone(), id, model, expected));
-            }
-            Step::Unload { engine: id, model } => {
-                begin(ledger, &mut stock, &id);
-                tokio::spawn(unload(node.clone(), id, model));
-            }
+        if step.from_store {
+            ledger.note_load(now);
         }
+        begin(ledger, &mut stock, &step.engine);
+        if let Some(account) = ledger.accounts.get_mut(&step.engine) {
+            account.busy = true;
+            account.models.retain(|model, _| !step.unload.contains(model));
+        }
+        let loading = (step.engine.clone(), step.load.clone(), step.from_store);
+        ledger.loading.push(loading);
+        let expected = match (step.from_store, engine.models.get(&step.load)) {
+            (true, Some(model)) => model.load_time,
+            _ => CACHED_LOAD,
+        };
+        tokio::spawn(change(node.clone(), step, expected));
     }
 }
 
-fn begin(ledger: &mut Ledger, stock: &mut crate::coordination::stock::Stock, id: &Name) {
+/// Lets no other order begin at an engine until this one was answered.
+fn begin(ledger: &mut Ledger, stock: &mut Stock, id: &Name) {
     if let Some(account) = ledger.accounts.get_mut(id) {
-        account.busy = true;
+        account.ordering = true;
     }
     if let Some(engine) = stock.engines.iter_mut().find(|engine| engine.id == *id) {
-        engine.busy = true;
+        engine.ordering = true;
     }
 }
 
@@ -427,13 +459,24 @@
     peers::tell_all(node, &Body::Held(holdings));
 }
 
-/// Ends an order: the engine is free for another, and all daemons learn what it holds.
+/// Ends a change of an engine's models: it is free for another, and all daemons learn what it holds.
 fn end(node: &Node, id: &Name, rest: bool) {
-    let holding = {
+    {
         let mut ledger = node.placer.ledger.lock();
         ledger.loading.retain(|(engine, _, _)| engine != id);
         if let Some(account) = ledger.accounts.get_mut(id) {
             account.busy = false;
+        }
+    }
+    answered(node, id, rest);
+}
+
+/// Lets the next order begin at an engine, and tells all daemons what it holds.
+fn answered(node: &Node, id: &Name, rest: bool) {
+    let holding = {
+        let mut ledger = node.placer.ledger.lock();
+        if let Some(account) = ledger.accounts.get_mut(id) {
+            account.ordering = false;
             if rest {
                 account.rest_until = node.now() + REST;
             }
@@ -445,11 +488,13 @@
 }
 
 async fn read(node: Arc<Node>, id: Name) {
-    let report = report(&node, &id).await;
-    let rest = report.is_none();
-    if let Some(report) = report {
-        node.placer.ledger.lock().read(&id, report, node.now());
-    }
+    let rest = match report(&node, &id).await {
+        Some(report) => {
+            node.placer.ledger.lock().read(&id, report, node.now());
+            false
+        }
+        None => true,
+    };
     end(&node, &id, rest);
 }
 
@@ -561,7 +606,7 @@
         let taken = order(&node, &id, Operation::Unload, &model, Some(&adapter)).await;
         if !matches!(taken, Some(Taken::Accepted | Taken::Done)) {
             settle(&node, &id).await;
-            return end(&node, &id, true);
+            return answered(&node, &id, true);
         }
     }
     let (model, adapter) = wanted;
@@ -571,7 +616,7 @@
         Some(Taken::Done) => {}
         _ => {
             settle(&node, &id).await;
-            return end(&node, &id, true);
+            return answered(&node, &id, true);
         }
     }
     let now = node.now();
@@ -583,7 +628,7 @@
             adapters.insert(adapter, now);
         }
     }
-    end(&node, &id, false);
+    answered(&node, &id, false);
 }
 
 fn remove_adapter(node: &Node, id: &Name, model: &Name, adapter: &Name) {
@@ -599,51 +644,56 @@
     tell(node, holding.into_iter().collect());
 }
 
-async fn load(node: Arc<Node>, id: Name, model: Name, expected: Duration) {
-    let taken = order(&node, &id, Operation::Load, &model, None).await;
-    let began = node.now();
-    let done = match taken {
-        Some(Taken::Accepted | Taken::Done) => {
-            finished(&node, &id, expected, began, |report| {
-                report.models.contains_key(&model)
-            })
-            .await
-        }
-        _ => {
-            settle(&node, &id).await;
-            false
+/// Unloads what has to leave an engine, and loads what takes its place.
+async fn change(node: Arc<Node>, step: Step, expected: Duration) {
+    let id = &step.engine;
+    if !step.unload.is_empty() {
+        let holding = node.placer.ledger.lock().holding(id);
+        tell(&node, holding.into_iter().collect());
+        sleep(NOTICE).await;
+    }
+    for model in &step.unload {
+        let is_gone = |report: &Report| !report.models.contains_key(model);
+        if !carry_out(&node, id, Operation::Unload, model, Duration::ZERO, is_gone).await {
+            return end(&node, id, true);
         }
-    };
+    }
+    let began = node.now();
+    let model = &step.load;
+    let is_there = |report: &Report| report.models.contains_key(model);
+    let done = carry_out(&node, id, Operation::Load, model, expected, is_there).await;
     spdlog::info!(
-        "placer: load engine={id} model={model} done={done} took_ms={}",
+        "placer: load engine={id} model={model} unloaded={} from_store={} done={done} took_ms={}",
+        step.unload.len(),
+        step.from_store,
         node.now().saturating_sub(began).as_millis()
     );
-    end(&node, &id, !done);
+    end(&node, id, !done);
 }
 
-async fn unload(node: Arc<Node>, id: Name, model: Name) {
-    let holding = {
-        let mut ledger = node.placer.ledger.lock();
-        if let Some(account) = ledger.accounts.get_mut(&id) {
-            account.models.remove(&model);
-        }
-        ledger.holding(&id)
-    };
-    tell(&node, holding.into_iter().collect());
-    sleep(NOTICE).await;
-    let taken = order(&node, &id, Operation::Unload, &model, None).await;
-    let began = node.now();
-    let done = match taken {
+/// Gives an order for a model and waits until it is complete.
+async fn carry_out(
+    node: &Node,
+    id: &Name,
+    operation: Operation,
+    model: &Name,
+    expected: Duration,
+    is_done: impl Fn(&Report) -> bool,
+) -> bool {
+    let taken = order(node, id, operation, model, None).await;
+    match taken {
         Some(Taken::Accepted | Taken::Done) => {
-            let is_gone = |report: &Report| !report.models.contains_key(&model);
-            finished(&node, &id, Duration::ZERO, began, is_gone).await
+            if operation == Operation::Load {
+                // Adapters of other models need not wait for it.
+                answered(node, id, false);
+            }
+            finished(node, id, expected, node.now(), is_done).await
         }
         _ => {
-            settle(&node, &id).await;
+            settle(node, id).await;
             false
         }
-    };
-    end(&node, &id, !done);
+    }
 }
 
 /// Waits until an engine's report shows that an order is complete, and takes the report over.
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::time::timeout;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::Node;
 use super::admit::{Refusal, Ticket};
@@ -45,7 +46,7 @@
 const ADAPTER_PATIENCE: Duration = Duration::from_millis(200);
 
 /// Longest wait for endpoints that are paused or have had their part of requests while cold.
-const PAUSE_PATIENCE: Duration = Duration::from_millis(100);
+const PAUSE_PATIENCE: Duration = Duration::from_millis(250);
 
 /// Interval at which a waiting request looks again.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
@@ -113,6 +114,8 @@
     pub runs: u32,
     /// Sends that reached an endpoint, run or not.
     pub arrivals: u32,
+    /// Counts the request as in flight until its answer is complete.
+    pub token: TaskTrackerToken,
 }
 
 impl Run {
@@ -262,7 +265,7 @@
         let route = &self.ticket.route;
         let another = route.kind.repeatable() && self.runs + 1 < route.attempts;
         match another {
-            true => (route.objective * 2).max(LEAST_SILENCE).min(self.left()),
+            true => (route.objective * 5 / 2).max(LEAST_SILENCE).min(self.left()),
             false => self.left(),
         }
     }
@@ -338,6 +341,7 @@
         tried: Vec::new(),
         runs: 0,
         arrivals: 0,
+        token: node.requests.token(),
     };
     node.demand.offer(&run.call);
     let waited_from = node.now();
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -108,7 +108,9 @@
     run: Run,
     exchange: Option<Box<Exchange>>,
     events: Events,
-    begun: bool,
+    begun: Option<Duration>,
+    last_whole: Duration,
+    longest_pause: Duration,
 }
 
 /// Answers with an endpoint's stream.
@@ -119,7 +121,9 @@
         events: Events::after(run.call.last_event),
         run,
         exchange: Some(Box::new(exchange)),
-        begun: false,
+        begun: None,
+        last_whole: Duration::ZERO,
+        longest_pause: Duration::ZERO,
     };
     let chunks = unfold(Some(relay), |state| async move {
         let mut relay = state?;
@@ -151,6 +155,7 @@
                 More::Nothing => {}
                 More::End => {
                     if let Some(exchange) = self.exchange.take() {
+                        self.log_late(&exchange);
                         exchange.finish(&self.run.node);
                     }
                     return Ok(None);
@@ -195,13 +200,42 @@
     }
 
     fn note_begun(&mut self) {
-        if self.begun {
+        let node = &self.run.node;
+        let now = node.now();
+        if self.begun.is_some() {
+            let pause = now.saturating_sub(self.last_whole);
+            self.longest_pause = self.longest_pause.max(pause);
+        } else {
+            let elapsed = now.saturating_sub(self.run.ticket.arrived);
+            self.begun = Some(elapsed);
+            node.meter.first_byte.observe(elapsed.as_secs_f64());
+        }
+        self.last_whole = now;
+    }
+
+    /// Logs a complete stream that was not on time.
+    fn log_late(&self, exchange: &Exchange) {
+        let route = &self.run.ticket.route;
+        let begun = self.begun.unwrap_or_default();
+        if begun <= route.objective && self.longest_pause <= route.gap {
             return;
         }
-        self.begun = true;
         let node = &self.run.node;
-        let elapsed = node.now().saturating_sub(self.run.ticket.arrived);
-        node.meter.first_byte.observe(elapsed.as_secs_f64());
+        node.meter.late.inc();
+        node.journal.line(|| {
+            let generation = self.run.call.generation.as_ref();
+            format!(
+                "stream: late request={} route={} model={} endpoint={} first_ms={} pause_ms={} flights={} runs={}",
+                self.run.call.id,
+                route.name,
+                generation.map_or("-", |generation| &generation.model),
+                exchange.endpoint.entry.id,
+                begun.as_millis(),
+                self.longest_pause.as_millis(),
+                exchange.endpoint.track.all_flights(),
+                self.run.runs
+            )
+        });
     }
 
     /// Goes on at another endpoint after the last whole event.
@@ -217,37 +251,41 @@
         self.events.cut();
         let last = self.events.last();
         self.run.tried.push(broken.clone());
-        let mut resumed = false;
-        for _ in 0..MAX_RESUMES {
-            if !self.run.may_repeat() {
-                break;
-            }
-            let Ok(choice) =
-                choose::choose(&node, &self.run.ticket, &self.run.call, &self.run.tried)
-            else {
-                break;
-            };
-            if !self.run.take_retry() {
-                break;
-            }
-            match self.run.send(&choice, last).await {
-                Sent::Answered(exchange) if exchange.parts.status.is_success() => {
-                    node.meter.resumes.inc();
-                    self.exchange = Some(exchange);
-                    resumed = true;
-                    break;
-                }
-                Sent::Answered(_) | Sent::Broken | Sent::Silent | Sent::NotRun | Sent::Unsent => {}
-            }
-        }
+        let outcome = self.go_on(last).await;
+        let resumed = outcome.is_ok();
         node.journal.line(|| {
             format!(
-                "stream: broken request={} reason={reason} endpoint={broken} last_event={} resumed={resumed} runs={}",
+                "stream: broken request={} reason={reason} endpoint={broken} last_event={} resumed={resumed} because={} runs={}",
                 self.run.call.id,
                 last.map_or(-1, |last| last as i64),
+                outcome.err().unwrap_or("-"),
                 self.run.runs
             )
         });
         resumed
     }
+
+    /// Finds another endpoint that goes on after an event.
+    async fn go_on(&mut self, last: Option<u64>) -> Result<(), &'static str> {
+        let node = self.run.node.clone();
+        for _ in 0..MAX_RESUMES {
+            if !self.run.may_repeat() {
+                return Err("may_not_repeat");
+            }
+            let run = &self.run;
+            let choice = choose::choose(&node, &run.ticket, &run.call, &run.tried)
+                .map_err(choose::Lack::reason)?;
+            if !self.run.take_retry() {
+                return Err("retry_budget");
+            }
+            if let Sent::Answered(exchange) = self.run.send(&choice, last).await
+                && exchange.parts.status.is_success()
+            {
+                node.meter.resumes.inc();
+                self.exchange = Some(exchange);
+                return Ok(());
+            }
+        }
+        Err("turned_away")
+    }
 }
