Give busy models more copies, spares to silent ones, and let no adapter be ordered twice

Cause: streams are late where many prompts meet at an engine between two events, so load per copy has to stay low; requests waited for adapters that were ordered at three engines at once; a model that rises had one copy.

--- a/src/coordination/allowance.rs
+++ b/src/coordination/allowance.rs
@@ -12,8 +12,9 @@
 /// Demand that a daemon wants to be covered ahead, about three heartbeats.
 const HORIZON: Duration = Duration::from_millis(1500);
 
-/// Units of a new part: enough to admit one request.
-const FIRST_UNITS: f64 = 1.0;
+/// Share of its burst with which a part begins. A fleet that restarts as a whole brings this much anew, so it stays
+/// well below the tolerance of the limit.
+const FIRST_SHARE: f64 = 0.5;
 
 /// Share of its own burst that a daemon does not give away.
 const KEPT_SHARE: f64 = 0.25;
@@ -49,14 +50,16 @@
 }
 
 impl Allowance {
-    /// Opens an empty part; it fills at its own rate, so a restarted daemon brings nothing twice.
+    /// Opens a part that is half full; a restarted daemon does not know what it had spent.
     pub fn open(terms: Terms, now: Duration) -> Self {
-        Self {
+        let mut allowance = Self {
             terms,
-            level: FIRST_UNITS,
+            level: 0.0,
             at: now,
             demand: 0.0,
-        }
+        };
+        allowance.level = allowance.burst() * FIRST_SHARE;
+        allowance
     }
 
     /// Takes in new terms; a level above the new part is cut when the workspace's limit itself fell.
--- a/src/coordination/choice.rs
+++ b/src/coordination/choice.rs
@@ -1,16 +1,23 @@
 //! Choice of an endpoint by the time until a request's first byte there.
 
 /// Detour to another zone, in milliseconds; it stands for the price of bytes between zones, too.
-const ZONE_MILLIS: f64 = 15.0;
+const ZONE_MILLIS: f64 = 5.0;
 
 /// Time that a failure costs the caller, in milliseconds.
 const FAILURE_MILLIS: f64 = 1500.0;
 
+/// Time that a caller loses when events come late, in milliseconds.
+const LATE_MILLIS: f64 = 250.0;
+
+/// Advantage of the endpoint that a daemon prefers most over the one that it prefers least, in milliseconds. Where each
+/// daemon has favourites of its own, it knows of most prompts that an engine still has to read.
+const PREFERENCE_MILLIS: f64 = 8.0;
+
 /// Prompt tokens that an engine reads in a millisecond.
 const READ_TOKENS_PER_MILLI: f64 = 35.0;
 
-/// Work that one more request on an idle endpoint adds for the others, in milliseconds.
-const CROWD_MILLIS: f64 = 60.0;
+/// Time that a full endpoint adds to each of its requests, in milliseconds.
+const CROWD_MILLIS: f64 = 100.0;
 
 /// Share of the slots beyond which waiting grows steeply.
 const FULL_SHARE: f64 = 0.85;
@@ -24,8 +31,12 @@
     pub slots: f64,
     /// Requests in flight there, of this daemon and of others.
     pub flights: f64,
-    /// Prompt tokens that it has to read.
+    /// Prompt tokens that it has to read, those of earlier requests of this daemon included.
     pub unread_tokens: f64,
+    /// Share of recent streams there whose events came late.
+    pub late_share: f64,
+    /// How little the daemon prefers it, 0 to 1; a constant for each pair.
+    pub aversion: f64,
     /// Recent average time to the first byte, in milliseconds.
     pub latency_millis: f64,
     /// Share of recent requests that failed.
@@ -36,8 +47,8 @@
     /// Expected cost of using the endpoint, in milliseconds.
     pub fn cost(&self) -> f64 {
         let share = (self.flights + 1.0) / self.slots.max(1.0);
-        let crowd = CROWD_MILLIS * share * share;
-        let waiting = (share - FULL_SHARE).max(0.0) * 20.0 * CROWD_MILLIS;
+        let crowd = CROWD_MILLIS * share;
+        let waiting = (share - FULL_SHARE).max(0.0) * 10.0 * CROWD_MILLIS;
         let zone = if self.near { 0.0 } else { ZONE_MILLIS };
         let reading = self.unread_tokens / READ_TOKENS_PER_MILLI;
         crowd
@@ -55,7 +66,8 @@
 /// ```
 /// use persimmoncroft::coordination::choice::{Candidate, choose};
 /// let near = Candidate {
-///     near: true, slots: 64.0, flights: 3.0, unread_tokens: 500.0, latency_millis: 20.0, failure_share: 0.0,
+///     near: true, slots: 64.0, flights: 3.0, unread_tokens: 500.0, late_share: 0.0, aversion: 0.0,
+///     latency_millis: 20.0, failure_share: 0.0,
 /// };
 /// let failing = Candidate { failure_share: 0.4, ..near };
 /// assert_eq!(choose(&[failing, near], 0.5), Some(1));
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -34,6 +34,7 @@
     paused_until: Duration,
     pause: Duration,
     latency: f64,
+    late: f64,
 }
 
 impl Health {
@@ -46,6 +47,13 @@
         self.latency += (sample - self.latency) * LATENCY_WEIGHT;
     }
 
+    /// Notes a stream by whether its events came late.
+    pub fn streamed(&mut self, late: bool, now: Duration) {
+        self.decay(now);
+        let sample = if late { 1.0 } else { 0.0 };
+        self.late += (sample - self.late) * OUTCOME_WEIGHT;
+    }
+
     /// Notes a request that failed at the endpoint.
     pub fn failed(&mut self, now: Duration) {
         self.decay(now);
@@ -80,6 +88,11 @@
         self.failures * self.fading(now)
     }
 
+    /// Share of recent streams whose events came late, 0 to 1.
+    pub fn late_share(&self, now: Duration) -> f64 {
+        self.late * self.fading(now)
+    }
+
     /// Average time to the first byte, in milliseconds, fading while the endpoint is not used.
     pub fn latency_millis(&self, now: Duration) -> f64 {
         self.latency * self.fading(now)
@@ -89,6 +102,7 @@
         let fading = self.fading(now);
         self.failures *= fading;
         self.latency *= fading;
+        self.late *= fading;
         self.seen = self.seen.max(now);
     }
 
--- a/src/coordination/stock.rs
+++ b/src/coordination/stock.rs
@@ -9,16 +9,16 @@
 use crate::state::record::Name;
 
 /// Load of one copy, as a share of an engine's time, above which another copy is wanted.
-pub const COPY_LOAD: f64 = 0.2;
+pub const COPY_LOAD: f64 = 0.12;
 
 /// Load of one copy up to which a model may lose one; the distance to [`COPY_LOAD`] keeps copies from coming and going.
-const KEPT_LOAD: f64 = 0.3;
+const KEPT_LOAD: f64 = 0.2;
 
 /// Load from which a model has two copies so that the loss of one stops nothing.
 const PAIR_LOAD: f64 = 0.04;
 
-/// Load from which a model gets a second copy where there is room for it anyway.
-const SPARE_LOAD: f64 = 0.001;
+/// Copies that every model should have where no busier one needs the room.
+const SPARE_COPIES: usize = 2;
 
 /// Places for adapters in use that a model's copies should have, as a multiple of their number.
 const PLACES_PER_ADAPTER: f64 = 1.15;
@@ -119,18 +119,18 @@
     }
 
     /// The next step, or none when all is well or nothing can be done now; loads from the weight store only if they
-    /// may begin.
+    /// may begin, and spare ones only if nothing else is being loaded from it.
     ///
     /// ```
     /// use persimmoncroft::coordination::stock::{Engine, Need, Stock};
     /// let engine = Engine { id: "e".into(), megabytes: 80.0, usable: true, ..Engine::default() };
     /// let need = Need { megabytes: 40.0, adapter_megabytes: 1.0, load: 0.0, adapters: 0 };
     /// let stock = Stock { engines: vec![engine], needs: [("m".into(), need)].into(), ..Stock::default() };
-    /// assert!(stock.step(false).is_none());
-    /// let step = stock.step(true).unwrap();
+    /// assert!(stock.step(false, false).is_none());
+    /// let step = stock.step(true, true).unwrap();
     /// assert_eq!((&*step.load, step.unload.len(), step.from_store), ("m", 0, true));
     /// ```
-    pub fn step(&self, store: bool) -> Option<Step> {
+    pub fn step(&self, store: bool, spare: bool) -> Option<Step> {
         let mut short: Vec<(&Name, f64)> = self
             .needs
             .iter()
@@ -147,22 +147,19 @@
         let needed = short
             .iter()
             .find_map(|(model, _)| self.place(model, store, true));
-        needed.or_else(|| self.spare(store))
+        needed.or_else(|| self.spare(store && spare))
     }
 
-    /// A second copy for a model that is asked for, where there is room without unloading anything.
+    /// A spare copy of a model with few, in the place of copies that nobody needs: silent models rise without notice.
     fn spare(&self, store: bool) -> Option<Step> {
-        let single = self.needs.iter().filter(|(model, need)| {
-            need.load >= SPARE_LOAD && self.copies(model) == 1
-        });
-        let mut single: Vec<(&Name, f64)> = single.map(|(model, need)| (model, need.load)).collect();
-        single.sort_by(|a, b| b.1.total_cmp(&a.1).then_with(|| a.0.cmp(b.0)));
-        single
-            .iter()
+        let few = self.needs.iter().filter(|(model, _)| self.copies(model) < SPARE_COPIES);
+        let mut few: Vec<(&Name, f64)> = few.map(|(model, need)| (model, need.load)).collect();
+        few.sort_by(|a, b| b.1.total_cmp(&a.1).then_with(|| a.0.cmp(b.0)));
+        few.iter()
             .find_map(|(model, _)| self.place(model, store, false))
     }
 
-    fn place(&self, model: &Name, store: bool, unload: bool) -> Option<Step> {
+    fn place(&self, model: &Name, store: bool, needed: bool) -> Option<Step> {
         let need = self.needs.get(model)?;
         let open = self.engines.iter().filter(|engine| {
             engine.usable
@@ -172,8 +169,8 @@
                 && (store || engine.cached.contains(model))
         });
         let options = open.filter_map(|engine| {
-            let leaving = self.room(engine, model, need)?;
-            (unload || leaving.is_empty()).then_some((engine, leaving))
+            let leaving = self.room(engine, model, need, needed)?;
+            Some((engine, leaving))
         });
         let key = |engine: &Engine, victims: &Vec<Name>| {
             (
@@ -197,7 +194,13 @@
     }
 
     /// Models that have to leave an engine for another one, least loaded first; none if too few may.
-    fn room(&self, engine: &Engine, model: &Name, need: &Need) -> Option<Vec<Name>> {
+    fn room(
+        &self,
+        engine: &Engine,
+        model: &Name,
+        need: &Need,
+        needed: bool,
+    ) -> Option<Vec<Name>> {
         let mut free = self.free(engine);
         if free >= need.megabytes {
             return Some(Vec::new());
@@ -213,10 +216,16 @@
                 };
                 let copies = self.copies(held);
                 let left = victim.load / copies.saturating_sub(1).max(1) as f64;
-                let spared = copies > self.copies_at(held, KEPT_LOAD);
-                let yields = copies > 2 && left < relief * YIELD_SHARE;
                 let settled = alone || !engine.fresh.contains(held);
-                (copies >= 2 && settled && (spared || alone || yields)).then_some((held, left))
+                let kept = self.copies_at(held, KEPT_LOAD);
+                let may_leave = match needed {
+                    true => {
+                        let yields = copies > SPARE_COPIES && left < relief * YIELD_SHARE;
+                        copies > kept || alone || yields
+                    }
+                    false => copies > self.wanted(held).max(SPARE_COPIES) + 1,
+                };
+                (copies >= 2 && settled && may_leave).then_some((held, left))
             })
             .collect();
         victims.sort_by(|a, b| a.1.total_cmp(&b.1));
@@ -276,6 +285,15 @@
     pub yields: Option<(Name, Name)>,
 }
 
+/// Engines that hold an adapter.
+pub fn adapter_copies(engines: &[Engine], model: &str, adapter: &str) -> usize {
+    let holds = |engine: &&Engine| {
+        let adapters = engine.models.get(model);
+        adapters.is_some_and(|adapters| adapters.contains_key(adapter))
+    };
+    engines.iter().filter(holds).count()
+}
+
 /// Chooses an engine for an adapter: in the zone if there is one, with a free place, else where an adapter rests longest.
 ///
 /// Engines that hold it already, that lack the model or on which an order is under way are left out.
@@ -303,8 +321,11 @@
             let with_model = move |(adapter, used)| (model, adapter, used);
             adapters.iter().map(with_model)
         });
-        let (model, adapter, used) = all.min_by_key(|(_, _, used)| **used)?;
-        let rested = *used + ADAPTER_REST <= now;
+        let rest = |(model, adapter, used): &(&Name, &Name, &Duration)| {
+            (adapter_copies(engines, model, adapter) < 2, **used)
+        };
+        let (model, adapter, used) = all.min_by_key(rest)?;
+        let rested = *used + ADAPTER_REST <= now || adapter_copies(engines, model, adapter) > 1;
         rested.then(|| (engine, held, Some((model.clone(), adapter.clone()))))
     });
     let best = options.min_by_key(|(engine, held, yields)| {
--- a/src/serving/choose.rs
+++ b/src/serving/choose.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::Node;
 use super::admit::Ticket;
@@ -57,6 +58,8 @@
     pub endpoint: Endpoint,
     /// What was known of it.
     pub candidate: Candidate,
+    /// Prompt tokens that it has to read for this request.
+    pub unread: u64,
     /// Candidates that were compared.
     pub compared: usize,
 }
@@ -98,6 +101,7 @@
     drop(seen);
     Ok(Choice {
         endpoint: endpoint.clone(),
+        unread: (candidate.unread_tokens as u64).saturating_sub(endpoint.track.unread()),
         candidate,
         compared: candidates.len(),
     })
@@ -138,12 +142,21 @@
         near: entry.zone == node.settings.zone,
         slots,
         flights,
-        unread_tokens: prompt.saturating_sub(read) as f64,
+        unread_tokens: (prompt.saturating_sub(read) + endpoint.track.unread()) as f64,
+        late_share: seen.health.late_share(now),
+        aversion: aversion(&node.settings.name, &entry.id),
         latency_millis: seen.health.latency_millis(now),
         failure_share: seen.health.failure_share(now),
     })
 }
 
+/// How little a daemon prefers an endpoint, 0 to 1.
+fn aversion(daemon: &str, endpoint: &str) -> f64 {
+    let seed = xxh3_64(daemon.as_bytes());
+    let hash = xxh3_64_with_seed(endpoint.as_bytes(), seed);
+    hash as f64 / u64::MAX as f64
+}
+
 fn holds(seen: &Seen, generation: &Generation, now: Duration) -> Result<(), Lack> {
     let lacks = |name: &str| seen.lacking.get(name).is_some_and(|until| now < *until);
     let adapters = seen.models.get(&generation.model);
--- a/src/serving/endpoint.rs
+++ b/src/serving/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -21,6 +21,8 @@
 pub struct Track {
     flights: AtomicU32,
     others: AtomicU32,
+    /// Prompt tokens of own requests that have had no first byte.
+    unread: AtomicU64,
     seen: Mutex<Seen>,
 }
 
@@ -95,6 +97,11 @@
         self.flights() + self.others.load(Ordering::Relaxed)
     }
 
+    /// Prompt tokens of own requests that have had no first byte.
+    pub fn unread(&self) -> u64 {
+        self.unread.load(Ordering::Relaxed)
+    }
+
     /// Takes over what another daemon says, in place of what it said before.
     pub fn others(&self, before: u32, after: u32) {
         let shift = |count: u32| Some((count + after).saturating_sub(before));
@@ -108,20 +115,30 @@
 #[derive(Debug)]
 pub struct Flight {
     track: Arc<Track>,
+    unread: u64,
 }
 
 impl Flight {
-    /// Counts a request.
-    pub fn open(track: &Arc<Track>) -> Self {
+    /// Counts a request and the prompt tokens that the endpoint has to read for it.
+    pub fn open(track: &Arc<Track>, unread: u64) -> Self {
         track.flights.fetch_add(1, Ordering::Relaxed);
+        track.unread.fetch_add(unread, Ordering::Relaxed);
         Self {
             track: track.clone(),
+            unread,
         }
     }
+
+    /// Notes the first byte: the prompt has been read.
+    pub fn begun(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        self.track.unread.fetch_sub(unread, Ordering::Relaxed);
+    }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
+        self.begun();
         self.track.flights.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -11,14 +11,20 @@
 use crate::state::record::Name;
 
 /// Time constant of the quick average of demand.
-const QUICK: f64 = 1.5;
+const QUICK: f64 = 1.0;
 
 /// Time constant of the slow average of demand.
-const SLOW: f64 = 8.0;
+const SLOW: f64 = 3.0;
 
-/// Factor over the quick average, since demand that rises goes on rising.
+/// Time that a load takes, in seconds, for which demand that rises is extended.
+const LOAD_AHEAD: f64 = 2.5;
+
+/// Factor over the present demand up to which any rise is believed.
 const HEADROOM: f64 = 1.25;
 
+/// Share of all demand up to which a rise is believed.
+const LARGEST_SHARE: f64 = 0.6;
+
 /// Time for which a model stays after it was loaded, unless another one has no copy at all.
 const FRESH: Duration = Duration::from_secs(5);
 
@@ -49,6 +55,12 @@
 /// Loads from the weight store that may be under way at once.
 const STORE_LOADS_AT_ONCE: usize = 5;
 
+/// Share of the loads in a window that spare copies may take.
+const SPARE_SHARE: f64 = 0.5;
+
+/// Loads from the weight store that may be under way when a spare one begins.
+const SPARE_LOADS_AT_ONCE: usize = 2;
+
 /// Loads that an earlier holder may have begun within the window.
 const LOADS_OF_OTHERS: usize = 4;
 
@@ -74,10 +86,20 @@
         self.at = self.at.max(now);
     }
 
-    /// Amount per second to be expected: quick to rise, slow to fall.
-    fn forecast(&mut self, now: Duration) -> f64 {
+    /// Amount per second now.
+    fn now(&mut self, now: Duration) -> f64 {
         self.decay(now);
-        (self.quick * HEADROOM).max(self.slow)
+        self.quick
+    }
+
+    /// Amount per second to be expected once a load that begins now is complete, of `total` for all models.
+    fn forecast(&mut self, total: f64, now: Duration) -> f64 {
+        self.decay(now);
+        // On a ramp the two averages lag by their time constants.
+        let slope = (self.quick - self.slow) / (SLOW - QUICK);
+        let ahead = self.quick + slope.max(0.0) * (QUICK + LOAD_AHEAD);
+        let most = (self.quick * HEADROOM).max(total * LARGEST_SHARE);
+        ahead.min(most).max(self.slow)
     }
 }
 
@@ -109,6 +131,8 @@
     pub accounts: HashMap<Name, Account>,
     /// Loads under way: engine, model, and whether the weights come from the weight store.
     pub loading: Vec<(Name, Name, bool)>,
+    /// Adapters on their way: model and adapter.
+    pub pending: Vec<(Name, Name)>,
     /// Adapters that requests wait for, with the zone of the first.
     pub wanted: Vec<(Name, Name, Name)>,
     /// Prompt and generated tokens per second by model.
@@ -123,6 +147,7 @@
         self.accounts.clear();
         self.loading.clear();
         self.wanted.clear();
+        self.pending.clear();
         self.store_loads = (0..LOADS_OF_OTHERS).map(|_| now).collect();
     }
 
@@ -240,13 +265,14 @@
         let largest = engine.models.values().map(|model| model.megabytes);
         let largest = largest.fold(1.0, f64::max);
         let mut needs = HashMap::new();
+        let totals = self.totals(now);
         for (name, model) in &engine.models {
             let uses = self.uses.iter();
             let in_use = uses.filter(|((of, _), used)| of == name && **used + IN_USE > now);
             let adapters = in_use.count();
             let rates = self.rates.get_mut(name);
             let (read, generated) = rates.map_or((0.0, 0.0), |(read, generated)| {
-                (read.forecast(now), generated.forecast(now))
+                (read.forecast(totals.0, now), generated.forecast(totals.1, now))
             });
             // Smaller models run faster, about in proportion to their weights.
             let pace = model.megabytes / largest;
@@ -284,7 +310,8 @@
                     || account.ordering
                     || account.sequence.is_none()
                     || account.rest_until > now,
-                ordering: account.ordering
+                ordering: account.busy
+                    || account.ordering
                     || account.sequence.is_none()
                     || account.rest_until > now,
                 usable: is_usable(id),
@@ -301,6 +328,14 @@
         }
     }
 
+    /// Prompt and generated tokens per second of all models.
+    fn totals(&mut self, now: Duration) -> (f64, f64) {
+        let rates = self.rates.values_mut();
+        rates.fold((0.0, 0.0), |(read, generated), rates| {
+            (read + rates.0.now(now), generated + rates.1.now(now))
+        })
+    }
+
     /// Whether another load from the weight store may begin now.
     pub fn may_load(&mut self, per_second: f64, window: Duration, now: Duration) -> bool {
         while self
@@ -315,6 +350,13 @@
         self.store_loads.len() < most && under_way.count() < STORE_LOADS_AT_ONCE
     }
 
+    /// Whether so few loads from the weight store began of late that a spare one leaves room for needed ones.
+    pub fn may_spare(&self, per_second: f64, window: Duration) -> bool {
+        let under_way = self.loading.iter().filter(|(_, _, from_store)| *from_store);
+        let most = per_second * window.as_secs_f64() * SPARE_SHARE;
+        (self.store_loads.len() as f64) < most && under_way.count() < SPARE_LOADS_AT_ONCE
+    }
+
     /// Notes that a load from the weight store may begin.
     pub fn note_load(&mut self, now: Duration) {
         self.store_loads.push_back(now);
@@ -339,11 +381,9 @@
                 adapters.iter().map(move |adapter| (model, adapter))
             });
             let copies = |model: &Name, adapter: &Name| {
-                let held = stock.engines.iter().filter(|engine| {
-                    let adapters = engine.models.get(model);
-                    adapters.is_some_and(|adapters| adapters.contains_key(adapter))
-                });
-                held.count()
+                let key = (model.clone(), adapter.clone());
+                let pending = self.pending.iter().filter(|pending| **pending == key);
+                stock::adapter_copies(&stock.engines, model, adapter) + pending.count()
             };
             let best = options
                 .filter(|(model, adapter)| !engine.models[*model].contains_key(*adapter))
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -52,7 +52,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Silence after which a placer is taken for gone.
-pub const PLACER_SILENCE: Duration = Duration::from_millis(1500);
+pub const PLACER_SILENCE: Duration = Duration::from_millis(1300);
 
 /// Name of the call that returns the configuration in force.
 const CATALOG_METHOD: &str = "catalog";
--- a/src/serving/placer.rs
+++ b/src/serving/placer.rs
@@ -37,8 +37,8 @@
 /// Head start of each daemon over the next in order when the duty is free.
 const TURN: Duration = Duration::from_millis(200);
 
-/// Terms of the holder's row in the time for which nobody else may order after its last order.
-const TERMS_PER_LEASE: u32 = 2;
+/// Term of the holder's row, in tenths of the time for which nobody else may order after its last order.
+const TERM_TENTHS: u32 = 4;
 
 /// Margin beyond the lease before the first order of a new holder.
 const MARGIN: Duration = Duration::from_millis(400);
@@ -61,6 +61,9 @@
 /// Time that an adapter's load takes at full speed, with a margin.
 const ADAPTER_LOAD: Duration = Duration::from_millis(25);
 
+/// Time given to requests that use an adapter which is to leave.
+const ADAPTER_DRAIN: Duration = Duration::from_millis(600);
+
 /// Time for which all daemons are told before an engine drops a model.
 const NOTICE: Duration = Duration::from_millis(120);
 
@@ -99,7 +102,7 @@
     /// Opens the duty, held by nobody.
     pub fn open(lease: Duration) -> Self {
         Self {
-            election: Mutex::new(Election::open(lease / TERMS_PER_LEASE)),
+            election: Mutex::new(Election::open(lease * TERM_TENTHS / 10)),
             ledger: Mutex::default(),
             from: Mutex::default(),
             fence: Mutex::default(),
@@ -253,17 +256,18 @@
     election.claimed(fence, new_version, asked);
     drop(election);
     if !goes_on {
-        begin_duty(node, fence, version, asked);
+        // A fresh fleet had no earlier holder; any other has stopped before its row could be taken over.
+        let wait = match version {
+            None => Duration::ZERO,
+            Some(_) => node.settings.placement_lease + MARGIN,
+        };
+        begin_duty(node, fence, wait, asked);
     }
     Ok(())
 }
 
-/// Begins the duty: nobody may order within the lease of an earlier holder's last order; a fresh fleet had none.
-fn begin_duty(node: &Node, fence: u64, earlier: Option<u64>, asked: Duration) {
-    let wait = match earlier {
-        None => Duration::ZERO,
-        Some(_) => node.settings.placement_lease + MARGIN,
-    };
+/// Begins the duty; orders wait until the lease after an earlier holder's last possible order has passed.
+fn begin_duty(node: &Node, fence: u64, wait: Duration, asked: Duration) {
     *node.placer.fence.lock() = fence;
     *node.placer.from.lock() = asked + wait;
     node.placer.confirmed.store(false, Ordering::Relaxed);
@@ -367,6 +371,10 @@
     let mut begun = 0;
     for wanted in ledger.wanted.clone() {
         let (model, adapter, _) = &wanted;
+        let key = (model.clone(), adapter.clone());
+        if ledger.pending.contains(&key) {
+            continue;
+        }
         if let Some(holder) = ledger.holder(&stock, model, adapter) {
             peers::tell_all(
                 node,
@@ -378,13 +386,13 @@
             continue;
         };
         begin(ledger, &mut stock, &berth.engine);
-        let work = adapter_orders(
+        ledger.pending.push(key.clone());
+        tokio::spawn(adapter_orders(
             node.clone(),
             berth.engine,
             berth.yields,
-            (model.clone(), adapter.clone()),
-        );
-        tokio::spawn(work);
+            key,
+        ));
         begun += 1;
     }
     while begun < ADAPTER_ORDERS {
@@ -411,7 +419,8 @@
         let mut stock = ledger.stock(view, service, now);
         let window = node.settings.load_window;
         let store = ledger.may_load(engine.loads_per_second, window, now);
-        let Some(step) = stock.step(store) else {
+        let spare = ledger.may_spare(engine.loads_per_second, window);
+        let Some(step) = stock.step(store, spare) else {
             return;
         };
         if step.from_store {
@@ -595,40 +604,52 @@
     }
 }
 
+/// Loads an adapter, after another one has left if that has to be.
 async fn adapter_orders(
     node: Arc<Node>,
     id: Name,
     yields: Option<(Name, Name)>,
     wanted: (Name, Name),
 ) {
+    let done = exchange_adapters(&node, &id, yields, &wanted).await;
+    if !done {
+        settle(&node, &id).await;
+    }
+    let mut ledger = node.placer.ledger.lock();
+    ledger.pending.retain(|pending| *pending != wanted);
+    drop(ledger);
+    answered(&node, &id, !done);
+}
+
+async fn exchange_adapters(
+    node: &Node,
+    id: &Name,
+    yields: Option<(Name, Name)>,
+    (model, adapter): &(Name, Name),
+) -> bool {
     if let Some((model, adapter)) = yields {
-        remove_adapter(&node, &id, &model, &adapter);
-        let taken = order(&node, &id, Operation::Unload, &model, Some(&adapter)).await;
-        if !matches!(taken, Some(Taken::Accepted | Taken::Done)) {
-            settle(&node, &id).await;
-            return answered(&node, &id, true);
+        remove_adapter(node, id, &model, &adapter);
+        let taken = order(node, id, Operation::Unload, &model, Some(&adapter)).await;
+        match taken {
+            Some(Taken::Done) => {}
+            // It waits for the requests that use it.
+            Some(Taken::Accepted) => sleep(ADAPTER_DRAIN).await,
+            _ => return false,
         }
     }
-    let (model, adapter) = wanted;
-    let taken = order(&node, &id, Operation::Load, &model, Some(&adapter)).await;
-    match taken {
+    match order(node, id, Operation::Load, model, Some(adapter)).await {
         Some(Taken::Accepted) => sleep(ADAPTER_LOAD).await,
         Some(Taken::Done) => {}
-        _ => {
-            settle(&node, &id).await;
-            return answered(&node, &id, true);
-        }
+        _ => return false,
     }
     let now = node.now();
-    {
-        let mut ledger = node.placer.ledger.lock();
-        let account = ledger.accounts.get_mut(&id);
-        let adapters = account.and_then(|account| account.models.get_mut(&model));
-        if let Some(adapters) = adapters {
-            adapters.insert(adapter, now);
-        }
+    let mut ledger = node.placer.ledger.lock();
+    let account = ledger.accounts.get_mut(id);
+    let adapters = account.and_then(|account| account.models.get_mut(model));
+    if let Some(adapters) = adapters {
+        adapters.insert(adapter.clone(), now);
     }
-    answered(&node, &id, false);
+    true
 }
 
 fn remove_adapter(node: &Node, id: &Name, model: &Name, adapter: &Name) {
@@ -683,10 +704,6 @@
     let taken = order(node, id, operation, model, None).await;
     match taken {
         Some(Taken::Accepted | Taken::Done) => {
-            if operation == Operation::Load {
-                // Adapters of other models need not wait for it.
-                answered(node, id, false);
-            }
             finished(node, id, expected, node.now(), is_done).await
         }
         _ => {
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -148,7 +148,7 @@
         let node = self.node.clone();
         let endpoint = &choice.endpoint;
         let id = &endpoint.entry.id;
-        let flight = Flight::open(&endpoint.track);
+        let mut flight = Flight::open(&endpoint.track, choice.unread);
         let mut connection = match node.pool.take(id) {
             Some(connection) => connection,
             None => {
@@ -237,6 +237,7 @@
             return Sent::NotRun;
         }
         self.runs += 1;
+        flight.begun();
         if parts.status.is_success() && !head.signed {
             endpoint.track.seen().health.failed(node.now());
             self.tried.push(id.clone());
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -154,6 +154,9 @@
                 }
                 More::Nothing => {}
                 More::End => {
+                    if self.longest_pause <= self.run.ticket.route.gap {
+                        self.note_streamed(false);
+                    }
                     if let Some(exchange) = self.exchange.take() {
                         self.log_late(&exchange);
                         exchange.finish(&self.run.node);
@@ -204,6 +207,10 @@
         let now = node.now();
         if self.begun.is_some() {
             let pause = now.saturating_sub(self.last_whole);
+            let gap = self.run.ticket.route.gap;
+            if pause > gap && self.longest_pause <= gap {
+                self.note_streamed(true);
+            }
             self.longest_pause = self.longest_pause.max(pause);
         } else {
             let elapsed = now.saturating_sub(self.run.ticket.arrived);
@@ -213,6 +220,14 @@
         self.last_whole = now;
     }
 
+    /// Notes whether an endpoint's events come late.
+    fn note_streamed(&self, late: bool) {
+        if let Some(exchange) = &self.exchange {
+            let now = self.run.node.now();
+            exchange.endpoint.track.seen().health.streamed(late, now);
+        }
+    }
+
     /// Logs a complete stream that was not on time.
     fn log_late(&self, exchange: &Exchange) {
         let route = &self.run.ticket.route;
