--- a/src/coordination/choice.rs
+++ b/src/coordination/choice.rs
@@ -55,6 +55,8 @@
             + waiting
             + zone
             + reading
+            + self.aversion * PREFERENCE_MILLIS
+            + self.late_share * LATE_MILLIS
             + self.latency_millis * (0.5 + share)
             + self.failure_share * FAILURE_MILLIS
     }
