--- a/src/coordination/stock.rs
+++ b/src/coordination/stock.rs
@@ -15,7 +15,7 @@
 const KEPT_LOAD: f64 = 0.2;
 
 /// Load from which a model has two copies so that the loss of one stops nothing.
-const PAIR_LOAD: f64 = 0.04;
+const PAIR_LOAD: f64 = 0.08;
 
 /// Copies that every model should have where no busier one needs the room.
 const SPARE_COPIES: usize = 2;
@@ -24,7 +24,7 @@
 const PLACES_PER_ADAPTER: f64 = 1.15;
 
 /// Load per copy that remains of a victim, as a share of that of the model in its place, up to which it may yield.
-const YIELD_SHARE: f64 = 0.3;
+const YIELD_SHARE: f64 = 0.6;
 
 /// Time for which an adapter stays after its last use before it may yield to another.
 const ADAPTER_REST: Duration = Duration::from_millis(700);
@@ -218,11 +218,10 @@
                 let left = victim.load / copies.saturating_sub(1).max(1) as f64;
                 let settled = alone || !engine.fresh.contains(held);
                 let kept = self.copies_at(held, KEPT_LOAD);
+                // What would be moved back at once is not moved.
+                let gains = left < relief * YIELD_SHARE;
                 let may_leave = match needed {
-                    true => {
-                        let yields = copies > SPARE_COPIES && left < relief * YIELD_SHARE;
-                        copies > kept || alone || yields
-                    }
+                    true => alone || (gains && copies > kept.min(SPARE_COPIES)),
                     false => copies > self.wanted(held).max(SPARE_COPIES) + 1,
                 };
                 (copies >= 2 && settled && may_leave).then_some((held, left))
--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -14,13 +14,16 @@
 const QUICK: f64 = 1.0;
 
 /// Time constant of the slow average of demand.
-const SLOW: f64 = 3.0;
+const SLOW: f64 = 4.0;
 
 /// Time that a load takes, in seconds, for which demand that rises is extended.
 const LOAD_AHEAD: f64 = 2.5;
 
-/// Factor over the present demand up to which any rise is believed.
-const HEADROOM: f64 = 1.25;
+/// Quick average, as a multiple of the slow one, from which demand is taken to rise rather than to vary.
+const RAMP: f64 = 1.7;
+
+/// Rise of the quick average over the slow one, as a share of all demand, that is taken for one as well.
+const RAMP_SHARE: f64 = 0.12;
 
 /// Share of all demand up to which a rise is believed.
 const LARGEST_SHARE: f64 = 0.6;
@@ -95,11 +98,13 @@
     /// Amount per second to be expected once a load that begins now is complete, of `total` for all models.
     fn forecast(&mut self, total: f64, now: Duration) -> f64 {
         self.decay(now);
+        if self.quick < self.slow * RAMP && self.quick < self.slow + total * RAMP_SHARE {
+            return self.slow;
+        }
         // On a ramp the two averages lag by their time constants.
-        let slope = (self.quick - self.slow) / (SLOW - QUICK);
-        let ahead = self.quick + slope.max(0.0) * (QUICK + LOAD_AHEAD);
-        let most = (self.quick * HEADROOM).max(total * LARGEST_SHARE);
-        ahead.min(most).max(self.slow)
+        let slope = (self.quick - self.slow).max(0.0) / (SLOW - QUICK);
+        let ahead = self.quick + slope * (QUICK + LOAD_AHEAD);
+        ahead.min(total * LARGEST_SHARE).max(self.quick)
     }
 }
 
