--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -204,23 +204,16 @@
         };
         let (parts, body) = response.into_parts();
         let head = (node.adapter.head)(&parts);
-        if head.id.as_ref() != Some(&self.call.id) {
-            // Another request's answer, or one that nobody can vouch for.
+        // Endpoints that turn a call away need not name it.
+        let unnamed = head.id.is_none() && head.not_run && !parts.status.is_success();
+        if head.id.as_ref() != Some(&self.call.id) && !unnamed {
+            // Another call's answer, or one that nobody can vouch for.
             self.runs += 1;
             self.tried.push(id.clone());
             endpoint.track.seen().health.failed(node.now());
-            self.log(
-                "foreign_answer",
-                choice,
-                &format!("status={}", parts.status),
-            );
-            return if head.not_run && head.id.is_none() && parts.status != StatusCode::OK {
-                self.runs -= 1;
-                self.turned_away(choice, &head, &parts);
-                Sent::NotRun
-            } else {
-                Sent::Broken
-            };
+            let detail = format!("status={}", parts.status.as_u16());
+            self.log("foreign_answer", choice, &detail);
+            return Sent::Broken;
         }
         if head.not_run {
             self.turned_away(choice, &head, &parts);
