--- a/src/serving/admit.rs
+++ b/src/serving/admit.rs
@@ -151,11 +151,21 @@
         });
         match taken {
             None | Some(Ok(())) => Ok(()),
-            Some(Err(wait)) => Err(Refusal {
-                status: StatusCode::TOO_MANY_REQUESTS,
-                reason: "over_rate",
-                retry_after: Some(wait),
-            }),
+            Some(Err(wait)) => {
+                node.journal.line(|| {
+                    let part = self.parts.lock().get(&workspace.name).cloned();
+                    format!(
+                        "limits: over rate workspace={} units={units} part={part:?} daemons={}",
+                        workspace.name,
+                        node.peers.count()
+                    )
+                });
+                Err(Refusal {
+                    status: StatusCode::TOO_MANY_REQUESTS,
+                    reason: "over_rate",
+                    retry_after: Some(wait),
+                })
+            }
         }
     }
 
