--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -20,9 +20,12 @@
 /// Timeout of a call beyond the time that it may wait.
 const TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// Pause after a change was read, so that a burst of changes costs few calls.
+/// Pause after a change was read in a small fleet, so that a burst of changes costs few calls.
 const PACE: Duration = Duration::from_millis(250);
 
+/// Longest such pause, in a large fleet; a third of the time in which a change has to be obeyed.
+const LONGEST_PACE: Duration = Duration::from_millis(1000);
+
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -119,7 +122,7 @@
                 }
                 version = Some(read);
                 if changed {
-                    sleep(PACE).await;
+                    sleep((PACE * node.peers.crowd()).min(LONGEST_PACE)).await;
                 }
             }
             Err(error) => {
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -125,6 +125,11 @@
         self.names.load().len()
     }
 
+    /// Factor by which intervals of what every daemon does grow with the fleet; 1 in a small one.
+    pub fn crowd(&self) -> u32 {
+        self.count().div_ceil(SMALL_FLEET).max(1) as u32
+    }
+
     /// The daemon that places models, with its address, if it has been heard a short while ago.
     pub fn placer(&self, now: Duration) -> Option<(Name, SocketAddr)> {
         let inner = self.inner.lock();
@@ -208,7 +213,7 @@
                         .line(|| format!("peers: cannot list daemons error=\"{error}\""));
                 }
             }
-            let interval = spread(LIST_INTERVAL);
+            let interval = spread(LIST_INTERVAL * node.peers.crowd());
             tokio::select! {
                 () = sleep(interval) => {}
                 () = node.peers.strangers.notified() => sleep(LIST_LEAST).await,
@@ -281,8 +286,12 @@
     let work = async {
         let mut told = Instant::now();
         loop {
-            let crowd = node.peers.count().div_ceil(SMALL_FLEET).max(1);
-            let due = told + spread(HEARTBEAT * crowd as u32);
+            // All watch whether the placer is there.
+            let crowd = match node.placer.is_holder(&node) {
+                true => 1,
+                false => node.peers.crowd(),
+            };
+            let due = told + spread(HEARTBEAT * crowd);
             // Whatever else has to be told at once does not put the heartbeat off.
             loop {
                 tokio::select! {
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -104,6 +104,8 @@
         let connect = async {
             let stream = TcpStream::connect(address).await?;
             guard(&stream)?;
+            // A request that is given up while its bytes still wait here must not arrive later.
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
             Ok(stream)
         };
         let stream = timeout(within, connect)
