--- a/src/bin/persimmond.rs
+++ b/src/bin/persimmond.rs
@@ -1,6 +1,6 @@
 //! The daemon.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
@@ -42,40 +42,20 @@
         }
     };
     match options {
-        Options::Check { file } => match read(&file) {
-            Ok(_) => {
+        Options::Check { file } => match cli::settings::read(&file, Settings::parse) {
+            Some(_) => {
                 println!("{}: ok", file.display());
                 ExitCode::SUCCESS
             }
-            Err(code) => code,
+            None => ExitCode::from(WRONG_SETTINGS),
         },
-        Options::Serve { settings } => match read(&settings) {
-            Ok(settings) => serve(settings).await,
-            Err(code) => code,
+        Options::Serve { settings } => match cli::settings::read(&settings, Settings::parse) {
+            Some(settings) => serve(settings).await,
+            None => ExitCode::from(WRONG_SETTINGS),
         },
     }
 }
 
-fn read(path: &Path) -> Result<Settings, ExitCode> {
-    let wrong = Err(ExitCode::from(WRONG_SETTINGS));
-    let text = match std::fs::read_to_string(path) {
-        Ok(text) => text,
-        Err(error) => {
-            eprintln!("{}: {error}", path.display());
-            return wrong;
-        }
-    };
-    match Settings::parse(&text) {
-        Ok(settings) => Ok(settings),
-        Err(mistakes) => {
-            for mistake in mistakes {
-                eprintln!("{}:{mistake}", path.display());
-            }
-            wrong
-        }
-    }
-}
-
 async fn serve(settings: Settings) -> ExitCode {
     match run(settings).await {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,4 +6,5 @@
 pub mod log;
 pub mod options;
 pub mod records;
+pub mod settings;
 pub mod show;
--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -85,11 +85,7 @@
 
 /// Follows one table until the daemon stops.
 pub async fn run(node: Arc<Node>, table: Table) {
-    let stopped = node.stopped.clone();
-    tokio::select! {
-        () = stopped.cancelled() => {}
-        () = follow(&node, table) => {}
-    }
+    node.until_stopped(follow(&node, table)).await;
 }
 
 async fn follow(node: &Node, table: Table) {
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -1,7 +1,7 @@
 //! The daemon on a platform: endpoints and configuration come from its store, callers and endpoints speak its protocol
 //! through an [`adapter::Adapter`], and everything that lasts lies in the store.
 //!
-//! A request's way: [`accept`], [`admit`], [`choose`], [`relay`], [`stream`]. Duties: [`feed`], [`peers`], [`placer`].
+//! A request's way: [`accept`], [`admit`], [`choose`], [`relay`], [`send`], [`stream`]. Duties: [`feed`], [`peers`], [`placer`].
 
 pub mod accept;
 pub mod adapter;
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod placer;
 pub mod relay;
+pub mod send;
 pub mod settings;
 pub mod stream;
 
@@ -145,6 +146,14 @@
         }
     }
 
+    /// Does a background duty's work until the daemon stops.
+    pub async fn until_stopped(&self, work: impl Future<Output = ()>) {
+        tokio::select! {
+            () = self.stopped.cancelled() => {}
+            () = work => {}
+        }
+    }
+
     /// Whether new connections are welcome.
     pub fn is_ready(&self) -> bool {
         self.belief.catalog.load().is_some()
@@ -241,9 +250,10 @@
             .await
             .map_err(Error::Gossip)?;
         let slot = Arc::new(OnceLock::new());
-        let peer_server = peer::Server::bind(settings.peer_listen, peers::module(slot.clone()))
-            .await
-            .map_err(Error::Peer)?;
+        let peer_server =
+            peer::Server::bind(settings.peer_listen, peers::source::module(slot.clone()))
+                .await
+                .map_err(Error::Peer)?;
         let (caller_address, ready_address) = (callers.1, ready.1);
         let node = open(settings, adapter, gossip, peer_server.address)?;
         let node = Arc::new(node);
@@ -252,9 +262,9 @@
         let duties = TaskTracker::new();
         duties.spawn(feed::run(node.clone(), Table::Operator));
         duties.spawn(feed::run(node.clone(), Table::Endpoints));
-        duties.spawn(peers::discover(node.clone()));
-        duties.spawn(peers::tell(node.clone()));
-        duties.spawn(peers::listen(node.clone()));
+        duties.spawn(peers::discover::run(node.clone()));
+        duties.spawn(peers::tell::run(node.clone()));
+        duties.spawn(peers::hear::run(node.clone()));
         duties.spawn(placer::run(node.clone()));
         duties.spawn(sweep(node.clone()));
         let stopped = node.stopped.clone();
--- /dev/null
+++ b/src/serving/peers/discover.rs
@@ -0,0 +1,124 @@
+//! Registers this daemon in the store and reads who else is there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::sleep;
+
+use super::{Card, LOST, Peer};
+use crate::protocol::digest::State;
+use crate::serving::{Node, feed, spread};
+use crate::state::row::{Change, Row};
+use crate::transport::exchange::Line;
+
+/// Table of the daemons' own rows in the platform's store.
+pub const TABLE: &str = "daemons";
+
+/// Interval between two readings of the daemons' rows.
+const LIST_INTERVAL: Duration = Duration::from_secs(15);
+
+/// Least interval between two readings when strangers are heard.
+const LIST_LEAST: Duration = Duration::from_secs(1);
+
+/// Registers this daemon and keeps reading who else is there.
+pub async fn run(node: Arc<Node>) {
+    let line = Line::open(node.settings.store_address);
+    let work = async {
+        register(&node, &line).await;
+        loop {
+            match feed::list(&node, &line, TABLE).await {
+                Ok(page) => {
+                    meet(&node, &line, &page.rows).await;
+                    remove_lost(&node, &line).await;
+                }
+                Err(error) => {
+                    node.journal
+                        .line(|| format!("peers: cannot list daemons error=\"{error}\""));
+                }
+            }
+            let interval = spread(LIST_INTERVAL * node.peers.crowd());
+            tokio::select! {
+                () = sleep(interval) => {}
+                () = node.peers.strangers.notified() => sleep(LIST_LEAST).await,
+            }
+        }
+    };
+    node.until_stopped(work).await;
+}
+
+async fn register(node: &Node, line: &Line) {
+    let card = Card {
+        gossip: node.gossip_address,
+        calls: node.peer_address,
+        zone: node.settings.zone.clone(),
+    };
+    let value = serde_json::to_vec(&card).unwrap_or_default();
+    let row = (TABLE.into(), node.settings.name.clone(), Bytes::from(value));
+    let change = Change {
+        write: vec![row],
+        ..Change::default()
+    };
+    while let Err(error) = node.commit(line, &change).await {
+        node.journal
+            .line(|| format!("peers: cannot register error=\"{error}\""));
+        sleep(spread(LIST_LEAST)).await;
+    }
+}
+
+async fn meet(node: &Node, line: &Line, rows: &[Row]) {
+    let now = node.now();
+    let mut own_row = false;
+    {
+        let mut inner = node.peers.inner.lock();
+        let mut listed = Vec::new();
+        for row in rows {
+            let Some(value) = &row.value else {
+                continue;
+            };
+            if row.key == node.settings.name {
+                own_row = true;
+                continue;
+            }
+            let Ok(card) = serde_json::from_slice::<Card>(value) else {
+                continue;
+            };
+            listed.push(row.key.clone());
+            let peer = inner.entry(row.key.clone()).or_insert_with(|| Peer {
+                card: card.clone(),
+                session: 0,
+                sequence: 0,
+                heard: now,
+                state: State::default(),
+            });
+            peer.card = card;
+        }
+        inner.retain(|name, peer| listed.contains(name) || peer.heard + LOST > now);
+    }
+    node.peers.divide(&node.settings.name, now);
+    if !own_row {
+        register(node, line).await;
+    }
+}
+
+/// Removes the rows of daemons that are gone for good; the placer does it for all.
+async fn remove_lost(node: &Node, line: &Line) {
+    let lost = node.peers.lost(node.now());
+    if lost.is_empty() || !node.placer.is_holder(node) {
+        return;
+    }
+    let change = Change {
+        remove: lost
+            .iter()
+            .map(|name| (TABLE.into(), name.clone()))
+            .collect(),
+        ..Change::default()
+    };
+    match node.commit(line, &change).await {
+        Ok(_) => spdlog::info!("peers: rows removed daemons={}", lost.join(",")),
+        Err(error) => {
+            node.journal
+                .line(|| format!("peers: rows not removed error=\"{error}\""));
+        }
+    }
+}
--- /dev/null
+++ b/src/serving/peers/hear.rs
@@ -0,0 +1,145 @@
+//! What peers tell this daemon.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Card, hold, send, source};
+use crate::protocol::digest::{Body, Digest, State};
+use crate::serving::Node;
+use crate::state::record::Name;
+use crate::transport::gossip::MAX_BYTES;
+
+/// Time for which the own feed may fail before peers' word is taken.
+const STALE: Duration = Duration::from_millis(700);
+
+/// Takes in what peers say.
+pub async fn run(node: Arc<Node>) {
+    let work = async {
+        let mut buffer = vec![0; MAX_BYTES];
+        loop {
+            match node.gossip.receive::<Digest>(&mut buffer).await {
+                Ok((digest, _)) => hear(&node, digest),
+                Err(error) => {
+                    node.journal
+                        .line(|| format!("peers: unreadable message error=\"{error}\""));
+                }
+            }
+        }
+    };
+    node.until_stopped(work).await;
+}
+
+fn hear(node: &Arc<Node>, digest: Digest) {
+    let now = node.now();
+    let (card, before) = {
+        let mut inner = node.peers.inner.lock();
+        let Some(peer) = inner.get_mut(&digest.daemon) else {
+            node.peers.strangers.notify_one();
+            return;
+        };
+        let old = digest.session < peer.session
+            || (digest.session == peer.session && digest.sequence <= peer.sequence);
+        if old {
+            return;
+        }
+        peer.session = digest.session;
+        peer.sequence = digest.sequence;
+        peer.heard = now;
+        let before = match &digest.body {
+            Body::State(state) => Some(std::mem::replace(&mut peer.state, state.clone())),
+            _ => None,
+        };
+        (peer.card.clone(), before)
+    };
+    match digest.body {
+        Body::State(state) => {
+            if let Some(before) = before {
+                compare_flights(node, &before.flights, &state.flights);
+            }
+            give(node, &state.missing, card.gossip, now);
+            catch_up(node, &state, &card, now);
+        }
+        Body::Given(given) => receive(node, &given, now),
+        Body::Demand(demand) => node.placer.learn(&demand, now),
+        Body::Wanted(wanted) => node.placer.want(wanted, card.zone),
+        Body::Held(holdings) => hold(node, holdings, now),
+    }
+}
+
+fn compare_flights(node: &Node, before: &BTreeMap<Name, u32>, after: &BTreeMap<Name, u32>) {
+    let view = node.belief.view.load();
+    for (id, endpoint) in &view.all {
+        let was = before.get(id).copied().unwrap_or_default();
+        let is = after.get(id).copied().unwrap_or_default();
+        if was != is {
+            endpoint.track.others(was, is);
+        }
+    }
+}
+
+fn give(node: &Node, missing: &[(Name, u64)], to: SocketAddr, now: Duration) {
+    let catalog = node.belief.catalog.load();
+    let Some(catalog) = catalog.as_ref() else {
+        return;
+    };
+    // All peers hear of the shortage at once and each gives its part.
+    let givers = (node.peers.count() - 1).max(1) as f64;
+    let mut given = Vec::new();
+    for (name, units) in missing {
+        let Some(workspace) = catalog.workspaces.get(name) else {
+            continue;
+        };
+        let wanted = (*units as f64 * 2.0 / givers).ceil().min(*units as f64);
+        let taken = node
+            .limits
+            .with(node, workspace, now, |part| part.give(wanted, now));
+        if let Some(units) = taken.filter(|units| *units >= 1.0) {
+            given.push((name.clone(), units as u64));
+        }
+    }
+    if !given.is_empty() {
+        send(node, Body::Given(given), to);
+    }
+}
+
+fn receive(node: &Node, given: &[(Name, u64)], now: Duration) {
+    let catalog = node.belief.catalog.load();
+    let Some(catalog) = catalog.as_ref() else {
+        return;
+    };
+    for (name, units) in given {
+        if let Some(workspace) = catalog.workspaces.get(name) {
+            node.limits.with(node, workspace, now, |part| {
+                part.receive(*units as f64, now)
+            });
+        }
+    }
+}
+
+/// Asks the store again, or the peer, when the peer knows more.
+fn catch_up(node: &Arc<Node>, state: &State, card: &Card, now: Duration) {
+    let stale = node.operator_feed.stale(STALE, now) || node.endpoint_feed.stale(STALE, now);
+    if stale {
+        node.belief.hear(&state.gone, &state.out, now);
+    }
+    let (operator, endpoints) = node.belief.versions();
+    let catalog = node.belief.catalog.load();
+    let version = catalog.as_ref().map_or(0, |catalog| catalog.version);
+    if state.catalog > version && (stale || catalog.is_none()) {
+        tokio::spawn(source::fetch(node.clone(), card.calls, version));
+    }
+    if !stale {
+        node.peers.operator_behind.lock().compare(
+            (operator, state.operator),
+            &node.operator_feed,
+            now,
+        );
+        node.peers.endpoints_behind.lock().compare(
+            (endpoints, state.endpoints),
+            &node.endpoint_feed,
+            now,
+        );
+    }
+}
--- /dev/null
+++ b/src/serving/peers/source.rs
@@ -0,0 +1,80 @@
+//! The configuration in force, fetched from a peer while the store turns this daemon away.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use jsonrpsee::server::RpcModule;
+use jsonrpsee::types::ErrorObjectOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::serving::Node;
+use crate::state::row::Row;
+
+/// Timeout of a call to a peer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Name of the call that returns the configuration in force.
+const CATALOG_METHOD: &str = "catalog";
+
+/// The node, filled in once the listener's address is known.
+pub type Slot = Arc<OnceLock<Arc<Node>>>;
+
+/// Answer of the call that returns the configuration.
+#[derive(Debug, Clone, Default, Deserialize, Serialize)]
+struct Source {
+    version: u64,
+    /// Text of the configuration, in base64; empty if the caller has that version.
+    text: String,
+}
+
+/// Fetches the configuration from a peer, if it has a newer one than is known.
+pub async fn fetch(node: Arc<Node>, from: SocketAddr, known: u64) {
+    let answer = node
+        .calls
+        .call::<u64, Source>(from, CATALOG_METHOD, &known, CALL_TIMEOUT);
+    let source = match answer.await {
+        Ok(source) => source,
+        Err(error) => {
+            node.journal
+                .line(|| format!("peers: no configuration from {from} error=\"{error}\""));
+            return;
+        }
+    };
+    let Ok(text) = STANDARD.decode(&source.text) else {
+        return;
+    };
+    let row = Row {
+        table: node.adapter.operator_table.into(),
+        key: node.adapter.catalog_key.into(),
+        value: Some(text.into()),
+        version: 0,
+    };
+    let notice = (node.adapter.notice)(&row);
+    let source = row.value.unwrap_or_default();
+    node.belief
+        .notice(notice, &source, Duration::ZERO, node.now());
+}
+
+/// Calls that peers may make.
+pub fn module(
+    slot: Arc<std::sync::OnceLock<Arc<Node>>>,
+) -> RpcModule<Arc<std::sync::OnceLock<Arc<Node>>>> {
+    let mut module = RpcModule::new(slot);
+    let registered = module.register_method(CATALOG_METHOD, |params, slot, _| {
+        let known: u64 = params.one()?;
+        let source = slot.get().and_then(|node| node.belief.source());
+        let (version, text) = source.unwrap_or_default();
+        let text = match version > known {
+            true => STANDARD.encode(&text),
+            false => String::new(),
+        };
+        Ok::<Source, ErrorObjectOwned>(Source { version, text })
+    });
+    if let Err(error) = registered {
+        spdlog::error!("peers: method {CATALOG_METHOD} cannot be registered: {error}");
+    }
+    module
+}
--- /dev/null
+++ b/src/serving/placer/lease.rs
@@ -0,0 +1,183 @@
+//! The lease of the duty, one row in the store.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::sleep;
+
+use super::PLAN_INTERVAL;
+use crate::coordination::election::{Lease, Step as Claim};
+use crate::serving::{Node, feed, spread};
+use crate::state::record::Name;
+use crate::state::row::Change;
+use crate::transport::exchange::Line;
+
+/// Table of the lease.
+const TABLE: &str = "lease";
+
+/// Key of the lease.
+const KEY: &str = "placement";
+
+/// Interval between two looks at the lease while no placer is heard.
+const LOOK_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Head start of each daemon over the next in order when the duty is free.
+const TURN: Duration = Duration::from_millis(200);
+
+/// Margin beyond the lease before the first order of a new holder.
+const MARGIN: Duration = Duration::from_millis(400);
+
+/// Renews the lease, or takes it when nobody else is heard; returns the pause before the next look.
+pub async fn keep(node: &Arc<Node>, line: &Line) -> Duration {
+    if node.leaving.is_cancelled() {
+        release(node, line).await;
+        return LOOK_INTERVAL;
+    }
+    let now = node.boot_now();
+    let holds = node.placer.is_holder(node);
+    if holds && !node.placer.election.lock().due(now) {
+        return PLAN_INTERVAL;
+    }
+    if !holds {
+        if node.peers.placer(node.now()).is_some() {
+            return LOOK_INTERVAL;
+        }
+        let position = node.peers.position(&node.settings.name, node.now());
+        sleep(TURN * position.min(8) as u32).await;
+        if node.peers.placer(node.now()).is_some() {
+            return LOOK_INTERVAL;
+        }
+    }
+    if let Err(error) = claim(node, line, holds).await {
+        node.journal
+            .line(|| format!("placer: lease not written error=\"{error}\""));
+    }
+    spread(LOOK_INTERVAL)
+}
+
+/// Writes the lease if it is this daemon's or free.
+async fn claim(node: &Arc<Node>, line: &Line, held: bool) -> Result<(), feed::Error> {
+    let version = node.placer.election.lock().version();
+    if let Some(version) = version.filter(|_| held) {
+        let fence = *node.placer.fence.lock();
+        let asked = node.boot_now();
+        match write(node, line, fence, Some(version)).await {
+            Ok(Some(version)) => {
+                let mut election = node.placer.election.lock();
+                election.claimed(fence, version, asked);
+                return Ok(());
+            }
+            // The write may have been applied, or another daemon has written; the row tells.
+            Ok(None) => {}
+            Err(error) => {
+                node.journal
+                    .line(|| format!("placer: lease not renewed error=\"{error}\""));
+            }
+        }
+    }
+    let asked = node.boot_now();
+    let page = feed::list(node, line, TABLE).await?;
+    let row = page.rows.iter().find(|row| &*row.key == KEY);
+    let lease = row.and_then(|row| {
+        let lease: Lease = serde_json::from_slice(row.value.as_ref()?).ok()?;
+        Some((lease, row.version))
+    });
+    let session = session(node);
+    // A row of this session that it never knew it had written begins the duty, too.
+    let begun = *node.placer.fence.lock();
+    let goes_on = lease
+        .as_ref()
+        .is_some_and(|(lease, _)| lease.session == session && lease.fence == begun);
+    let lease = lease.as_ref().map(|(lease, version)| (lease, *version));
+    let step = node.placer.election.lock().judge(lease, &session, asked);
+    let Claim::Claim { fence, version } = step else {
+        if held {
+            spdlog::warn!("placer: lease lost");
+        }
+        return Ok(());
+    };
+    let Some(new_version) = write(node, line, fence, version).await? else {
+        return Ok(());
+    };
+    let mut election = node.placer.election.lock();
+    election.claimed(fence, new_version, asked);
+    drop(election);
+    if !goes_on {
+        // A fresh fleet had no earlier holder; any other has stopped before its row could be taken over.
+        let wait = match version {
+            None => Duration::ZERO,
+            Some(_) => node.settings.placement_lease + MARGIN,
+        };
+        begin_duty(node, fence, wait, asked);
+    }
+    Ok(())
+}
+
+/// Begins the duty; orders wait until the lease after an earlier holder's last possible order has passed.
+fn begin_duty(node: &Node, fence: u64, wait: Duration, asked: Duration) {
+    *node.placer.fence.lock() = fence;
+    *node.placer.from.lock() = asked + wait;
+    node.placer.confirmed.store(false, Ordering::Relaxed);
+    node.placer.ledger.lock().begin(node.now());
+    spdlog::info!(
+        "placer: lease taken fence={fence} orders_in_ms={}",
+        wait.as_millis()
+    );
+}
+
+fn session(node: &Node) -> Name {
+    format!("{}/{}", node.settings.name, node.session).into()
+}
+
+/// Writes the lease if its row is at a version; returns the new version, or none if it is not.
+async fn write(
+    node: &Node,
+    line: &Line,
+    fence: u64,
+    version: Option<u64>,
+) -> Result<Option<u64>, feed::Error> {
+    let lease = Lease {
+        session: session(node),
+        address: node.gossip_address,
+        fence,
+    };
+    write_row(node, line, &lease, version).await
+}
+
+async fn write_row(
+    node: &Node,
+    line: &Line,
+    lease: &Lease,
+    version: Option<u64>,
+) -> Result<Option<u64>, feed::Error> {
+    let value = Bytes::from(serde_json::to_vec(lease).unwrap_or_default());
+    let change = Change {
+        expected: vec![(TABLE.into(), KEY.into(), version.unwrap_or_default())],
+        write: vec![(TABLE.into(), KEY.into(), value)],
+        remove: Vec::new(),
+    };
+    node.commit(line, &change).await
+}
+
+async fn release(node: &Node, line: &Line) {
+    let held = {
+        let mut election = node.placer.election.lock();
+        let held = election.holds(node.boot_now()).then(|| election.version());
+        election.lost();
+        held.flatten()
+    };
+    let Some(version) = held else {
+        return;
+    };
+    let lease = Lease {
+        session: "".into(),
+        address: node.gossip_address,
+        fence: *node.placer.fence.lock(),
+    };
+    match write_row(node, line, &lease, Some(version)).await {
+        Ok(_) => spdlog::info!("placer: lease released fence={}", lease.fence),
+        Err(error) => spdlog::warn!("placer: lease not released error=\"{error}\""),
+    }
+}
--- /dev/null
+++ b/src/serving/placer/mod.rs
@@ -0,0 +1,173 @@
+//! The duty to place models and adapters: one daemon holds it by a lease in the store and orders engines.
+
+mod change;
+mod lease;
+mod order;
+mod plan;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use super::ledger::Ledger;
+use super::{Node, peers};
+use crate::coordination::election::Election;
+use crate::protocol::digest::{Body, Demand, Holding};
+use crate::state::record::Name;
+use crate::transport::exchange::Line;
+
+/// Interval between two plans.
+const PLAN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Term of the holder's row, in tenths of the time for which nobody else may order after its last order.
+const TERM_TENTHS: u32 = 4;
+
+/// Pause before an engine that refused an order gets another.
+const REST: Duration = Duration::from_millis(1500);
+
+/// Interval at which all daemons are told again what engines hold.
+const TELL_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Engines in one message.
+const ENGINES_PER_MESSAGE: usize = 12;
+
+/// The duty as this daemon sees it.
+#[derive(Debug)]
+pub struct Placer {
+    election: Mutex<Election>,
+    ledger: Mutex<Ledger>,
+    /// Time from which this holder may order.
+    from: Mutex<Duration>,
+    fence: Mutex<u64>,
+    /// Whether reports were read again since this holder may order.
+    confirmed: AtomicBool,
+    urgent: Notify,
+}
+
+impl Placer {
+    /// Opens the duty, held by nobody.
+    pub fn open(lease: Duration) -> Self {
+        Self {
+            election: Mutex::new(Election::open(lease * TERM_TENTHS / 10)),
+            ledger: Mutex::default(),
+            from: Mutex::default(),
+            fence: Mutex::default(),
+            confirmed: AtomicBool::default(),
+            urgent: Notify::default(),
+        }
+    }
+
+    /// Whether this daemon holds the duty now.
+    pub fn is_holder(&self, node: &Node) -> bool {
+        self.election.lock().holds(node.boot_now())
+    }
+
+    /// Fencing token of this daemon while it holds the duty.
+    pub fn fence(&self, node: &Node) -> Option<u64> {
+        self.is_holder(node).then(|| *self.fence.lock())
+    }
+
+    fn may_order(&self, node: &Node) -> bool {
+        self.is_holder(node) && node.boot_now() >= *self.from.lock()
+    }
+
+    /// Takes in demand.
+    pub fn learn(&self, demand: &Demand, now: Duration) {
+        self.ledger.lock().learn(demand, now);
+    }
+
+    /// Takes in adapters that requests in a zone wait for.
+    pub fn want(&self, wanted: Vec<(Name, Name)>, zone: Name) {
+        let mut ledger = self.ledger.lock();
+        for (model, adapter) in wanted {
+            let known = ledger.wanted.iter();
+            let mut known = known.filter(|(m, a, _)| *m == model && *a == adapter);
+            if known.next().is_none() {
+                ledger.wanted.push((model, adapter, zone.clone()));
+            }
+        }
+        drop(ledger);
+        self.urgent.notify_one();
+    }
+}
+
+/// Holds the duty when nobody else does, and plans while it holds it.
+pub async fn run(node: Arc<Node>) {
+    let line = Line::open(node.settings.store_address);
+    let work = async {
+        let keep = async {
+            loop {
+                let pause = lease::keep(&node, &line).await;
+                sleep(pause).await;
+            }
+        };
+        let plan = async {
+            let mut told = Duration::ZERO;
+            loop {
+                tokio::select! {
+                    () = sleep(PLAN_INTERVAL) => {}
+                    () = node.placer.urgent.notified() => {}
+                }
+                if node.placer.is_holder(&node) && !node.leaving.is_cancelled() {
+                    plan::plan(&node);
+                    let now = node.now();
+                    if told + TELL_INTERVAL < now {
+                        told = now;
+                        tell_all(&node);
+                    }
+                }
+            }
+        };
+        tokio::join!(keep, plan);
+    };
+    node.until_stopped(work).await;
+}
+
+fn tell_all(node: &Node) {
+    let holdings: Vec<Holding> = {
+        let ledger = node.placer.ledger.lock();
+        let ids = ledger.accounts.keys();
+        ids.filter_map(|id| ledger.holding(id)).collect()
+    };
+    for part in holdings.chunks(ENGINES_PER_MESSAGE) {
+        tell(node, part.to_vec());
+    }
+}
+
+/// Tells all daemons, this one among them, what engines hold.
+fn tell(node: &Node, holdings: Vec<Holding>) {
+    peers::hold(node, holdings.clone(), node.now());
+    peers::tell_all(node, &Body::Held(holdings));
+}
+
+/// Ends a change of an engine's models: it is free for another, and all daemons learn what it holds.
+fn end(node: &Node, id: &Name, rest: bool) {
+    {
+        let mut ledger = node.placer.ledger.lock();
+        ledger.loading.retain(|(engine, _, _)| engine != id);
+        if let Some(account) = ledger.accounts.get_mut(id) {
+            account.busy = false;
+        }
+    }
+    answered(node, id, rest);
+}
+
+/// Lets the next order begin at an engine, and tells all daemons what it holds.
+fn answered(node: &Node, id: &Name, rest: bool) {
+    let holding = {
+        let mut ledger = node.placer.ledger.lock();
+        if let Some(account) = ledger.accounts.get_mut(id) {
+            account.ordering = false;
+            if rest {
+                account.rest_until = node.now() + REST;
+            }
+        }
+        ledger.holding(id)
+    };
+    tell(node, holding.into_iter().collect());
+    node.placer.urgent.notify_one();
+}
--- /dev/null
+++ b/src/serving/placer/order.rs
@@ -0,0 +1,136 @@
+//! Single orders to engines and readings of their reports.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::end;
+use crate::protocol::connection::keep_alive;
+use crate::serving::Node;
+use crate::serving::adapter::{Operation, Order, Report, Taken};
+use crate::state::record::Name;
+use crate::transport::exchange::Connection;
+
+/// Timeout of one order or report.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Times that an unanswered order is sent; each copy asks for the same sequence, so that one at most applies.
+const ORDER_COPIES: u32 = 8;
+
+/// Pause before an unanswered order is sent again.
+pub const RESEND: Duration = Duration::from_millis(150);
+
+/// Age that an engine's report may have.
+const REPORT_LAG: Duration = Duration::from_millis(400);
+
+/// Reads an engine's report into the books.
+pub async fn read(node: Arc<Node>, id: Name) {
+    let rest = match report(&node, &id).await {
+        Some(report) => {
+            node.placer.ledger.lock().read(&id, report, node.now());
+            false
+        }
+        None => true,
+    };
+    end(&node, &id, rest);
+}
+
+/// Reads an engine's report.
+pub async fn report(node: &Node, id: &Name) -> Option<Report> {
+    let view = node.belief.view.load_full();
+    let entry = &view.all.get(id)?.entry;
+    node.meter.reports.inc();
+    let request = (node.adapter.ask_report)(entry);
+    let mut connection = connection(node, id, entry.address).await?;
+    let response = connection.fetch(request, ORDER_TIMEOUT).await.ok()?;
+    let report = (node.adapter.report)(response.body());
+    let keep = keep_alive(response.version(), response.headers());
+    node.keep(id, connection, keep);
+    report
+}
+
+async fn connection(node: &Node, id: &Name, address: SocketAddr) -> Option<Connection> {
+    if let Some(connection) = node.pool.take(id) {
+        return Some(connection);
+    }
+    node.meter.connects.inc();
+    Connection::open(address, ORDER_TIMEOUT).await.ok()
+}
+
+/// Sends an order until it is answered, the lease ends or the engine is gone.
+pub async fn order(
+    node: &Node,
+    id: &Name,
+    operation: Operation,
+    model: &Name,
+    adapter: Option<&Name>,
+) -> Option<Taken> {
+    let expected = node.placer.ledger.lock().accounts.get(id)?.sequence?;
+    let order = Order {
+        operation,
+        model: model.clone(),
+        adapter: adapter.cloned(),
+        expected,
+        holder: node.settings.name.clone(),
+        fence: *node.placer.fence.lock(),
+    };
+    for copy in 0..ORDER_COPIES {
+        let view = node.belief.view.load_full();
+        let entry = &view.all.get(id)?.entry;
+        let Some(mut connection) = connection(node, id, entry.address).await else {
+            sleep(RESEND).await;
+            continue;
+        };
+        if !node.placer.may_order(node) {
+            return None;
+        }
+        node.meter.orders.inc();
+        let request = (node.adapter.order)(&order, entry);
+        let response = connection.fetch(request, ORDER_TIMEOUT).await;
+        let outcome = match &response {
+            Ok(response) => format!("status={}", response.status().as_u16()),
+            Err(error) => format!("error=\"{error}\""),
+        };
+        spdlog::info!(
+            "placer: order engine={id} operation={operation:?} model={model} adapter={} expected={expected} fence={} copy={copy} {outcome}",
+            adapter.map_or("-", |adapter| adapter),
+            order.fence
+        );
+        let Ok(response) = response else {
+            sleep(RESEND).await;
+            continue;
+        };
+        let (parts, _) = response.into_parts();
+        let keep = keep_alive(parts.version, &parts.headers);
+        node.keep(id, connection, keep);
+        let taken = (node.adapter.taken)(&parts);
+        let unloaded = operation == Operation::Unload && taken == Taken::Done;
+        if taken == Taken::Accepted || unloaded {
+            advance(node, id, expected + 1);
+        }
+        return Some(taken);
+    }
+    None
+}
+
+fn advance(node: &Node, id: &Name, sequence: u64) {
+    let mut ledger = node.placer.ledger.lock();
+    if let Some(account) = ledger.accounts.get_mut(id) {
+        account.sequence = Some(sequence);
+    }
+}
+
+/// Reads the report of an engine whose state is not certain any more, once it must show the last order.
+pub async fn settle(node: &Node, id: &Name) {
+    sleep(REPORT_LAG).await;
+    let report = report(node, id).await;
+    let mut ledger = node.placer.ledger.lock();
+    if let Some(account) = ledger.accounts.get_mut(id) {
+        account.sequence = None;
+    }
+    if let Some(report) = report {
+        ledger.read(id, report, node.now());
+    }
+}
--- /dev/null
+++ b/src/serving/placer/plan.rs
@@ -0,0 +1,143 @@
+//! Decides which orders are due, with what is known of engines and demand.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::{change, order};
+use crate::coordination::stock::Stock;
+use crate::protocol::digest::Body;
+use crate::serving::endpoint::View;
+use crate::serving::ledger::Ledger;
+use crate::serving::{Node, peers};
+use crate::state::catalog::Service;
+use crate::state::record::Name;
+
+/// Time that a load from an engine's own memory or disk takes at most.
+const CACHED_LOAD: Duration = Duration::from_millis(500);
+
+/// Adapter orders that may be under way at once over all engines.
+const ADAPTER_ORDERS: usize = 12;
+
+/// Reads reports that are missing and gives the orders that are due.
+pub fn plan(node: &Arc<Node>) {
+    let now = node.now();
+    let Some(catalog) = node.belief.catalog.load_full() else {
+        return;
+    };
+    let view = node.belief.view.load_full();
+    let mut ledger = node.placer.ledger.lock();
+    if node.placer.may_order(node) && !node.placer.confirmed.swap(true, Ordering::Relaxed) {
+        ledger.confirm();
+    }
+    for id in ledger.follow(&view, &catalog.services, now) {
+        tokio::spawn(order::read(node.clone(), id));
+    }
+    if !node.placer.may_order(node) {
+        return;
+    }
+    let engines = catalog.services.values().filter(|s| s.engine.is_some());
+    for service in engines {
+        plan_adapters(node, &mut ledger, service, &view, now);
+        plan_models(node, &mut ledger, service, &view, now);
+    }
+    ledger.wanted.clear();
+}
+
+fn plan_adapters(
+    node: &Arc<Node>,
+    ledger: &mut Ledger,
+    service: &Arc<Service>,
+    view: &View,
+    now: Duration,
+) {
+    let mut stock = ledger.stock(view, service, now);
+    let mut begun = 0;
+    for wanted in ledger.wanted.clone() {
+        let (model, adapter, _) = &wanted;
+        let key = (model.clone(), adapter.clone());
+        if ledger.pending.contains(&key) {
+            continue;
+        }
+        if let Some(holder) = ledger.holder(&stock, model, adapter) {
+            peers::tell_all(
+                node,
+                &Body::Held(ledger.holding(&holder).into_iter().collect()),
+            );
+            continue;
+        }
+        let Some(berth) = ledger.berth(&stock, &wanted, now) else {
+            continue;
+        };
+        begin(ledger, &mut stock, &berth.engine);
+        ledger.pending.push(key.clone());
+        tokio::spawn(change::adapters(
+            node.clone(),
+            berth.engine,
+            berth.yields,
+            key,
+        ));
+        begun += 1;
+    }
+    while begun < ADAPTER_ORDERS {
+        let Some((engine, model, adapter)) = ledger.ahead(&stock, service) else {
+            return;
+        };
+        begin(ledger, &mut stock, &engine);
+        tokio::spawn(change::adapters(
+            node.clone(),
+            engine,
+            None,
+            (model, adapter),
+        ));
+        begun += 1;
+    }
+}
+
+fn plan_models(
+    node: &Arc<Node>,
+    ledger: &mut Ledger,
+    service: &Arc<Service>,
+    view: &View,
+    now: Duration,
+) {
+    let Some(engine) = &service.engine else {
+        return;
+    };
+    loop {
+        let mut stock = ledger.stock(view, service, now);
+        let window = node.settings.load_window;
+        let store = ledger.may_load(engine.loads_per_second, window, now);
+        let spare = ledger.may_spare(engine.loads_per_second, window);
+        let Some(step) = stock.step(store, spare) else {
+            return;
+        };
+        if step.from_store {
+            ledger.note_load(now);
+        }
+        begin(ledger, &mut stock, &step.engine);
+        if let Some(account) = ledger.accounts.get_mut(&step.engine) {
+            account.busy = true;
+            account
+                .models
+                .retain(|model, _| !step.unload.contains(model));
+        }
+        let loading = (step.engine.clone(), step.load.clone(), step.from_store);
+        ledger.loading.push(loading);
+        let expected = match (step.from_store, engine.models.get(&step.load)) {
+            (true, Some(model)) => model.load_time,
+            _ => CACHED_LOAD,
+        };
+        tokio::spawn(change::models(node.clone(), step, expected));
+    }
+}
+
+/// Lets no other order begin at an engine until this one was answered.
+fn begin(ledger: &mut Ledger, stock: &mut Stock, id: &Name) {
+    if let Some(account) = ledger.accounts.get_mut(id) {
+        account.ordering = true;
+    }
+    if let Some(engine) = stock.engines.iter_mut().find(|engine| engine.id == *id) {
+        engine.ordering = true;
+    }
+}
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -10,7 +10,8 @@
 use tokio::time::timeout;
 
 use super::choose;
-use super::relay::{Body, Exchange, Run, Sent, passed_on};
+use super::relay::{Body, passed_on};
+use super::send::{Exchange, Run, Sent};
 
 /// Longest event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
