Keep a daemon's part below its burst by the size of a request

Each of 64 daemons may fall below zero by one request, together up to 0.4 of the burst, and a restart forgets those debts while new daemons bring parts of their own. Large requests are not starved (new test).

--- a/src/coordination/allowance.rs
+++ b/src/coordination/allowance.rs
@@ -19,6 +19,12 @@
 /// Share of its own burst below which a daemon asks others at once.
 const LOW_SHARE: f64 = 0.5;
 
+/// Weight of one request in the average size.
+const SIZE_WEIGHT: f64 = 0.05;
+
+/// Least share of its burst that a part holds, however large requests are.
+const LEAST_SHARE: f64 = 0.25;
+
 /// Share of its own burst that a daemon does not give away.
 const KEPT_SHARE: f64 = 0.25;
 
@@ -50,6 +56,8 @@
     level: f64,
     at: Duration,
     demand: f64,
+    /// Average units of a request.
+    size: f64,
 }
 
 impl Allowance {
@@ -60,6 +68,7 @@
             level: 0.0,
             at: now,
             demand: 0.0,
+            size: 0.0,
         };
         allowance.level = allowance.burst() * FIRST_SHARE;
         allowance
@@ -75,13 +84,15 @@
         }
     }
 
-    /// Takes units for a request while anything is left; the level may fall below zero by one request.
+    /// Takes units for a request while anything is left, so that large ones are not starved by small ones; the level may
+    /// fall below zero by one request.
     ///
     /// # Errors
     /// The time until something is left again.
     pub fn take(&mut self, units: f64, now: Duration) -> Result<(), Duration> {
         self.advance(now);
         self.demand += units / AVERAGE.as_secs_f64();
+        self.size += (units - self.size) * SIZE_WEIGHT;
         if self.level > 0.0 {
             self.level -= units;
             return Ok(());
@@ -142,8 +153,16 @@
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         self.at = self.at.max(now);
         self.demand *= (-elapsed / AVERAGE.as_secs_f64()).exp();
-        if self.level < self.burst() {
-            self.level = (self.level + elapsed * self.rate()).min(self.burst());
+        let capacity = self.capacity();
+        if self.level < capacity {
+            self.level = (self.level + elapsed * self.rate()).min(capacity);
         }
     }
+
+    /// Level up to which the part fills: the debt of one request is taken off, since in a large fleet all debts together
+    /// are as large as the workspace's burst.
+    fn capacity(&self) -> f64 {
+        let burst = self.burst();
+        (burst - self.size).max(burst * LEAST_SHARE)
+    }
 }
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -127,3 +127,80 @@
     part.set(lower, Duration::from_secs(5));
     assert_eq!(part.level(Duration::from_secs(5)), 10.0);
 }
+
+/// 64 daemons under full pressure restart as a whole while ten new ones join: hunt-9d78-7 of glockenhof-grown.
+#[test]
+fn restart_and_growth_of_a_large_fleet_stay_within_the_tolerance() {
+    let terms = |daemons| Terms {
+        rate: 162_654.0,
+        burst: 162_654.0,
+        daemons,
+    };
+    let open = |count: usize, now| -> Vec<Allowance> {
+        (0..count)
+            .map(|_| Allowance::open(terms(count), now))
+            .collect()
+    };
+    let mut daemons = open(64, millis(0));
+    let mut admitted = Vec::new();
+    for step in 0..1800_u64 {
+        let now = millis(2000 + step * 10);
+        match step {
+            700 => daemons.extend((0..10).map(|_| Allowance::open(terms(74), now))),
+            850 => daemons
+                .iter_mut()
+                .for_each(|daemon| daemon.set(terms(74), now)),
+            1300 => daemons = open(74, now),
+            _ => {}
+        }
+        for (number, daemon) in daemons.iter_mut().enumerate() {
+            let units = if (step as usize + number).is_multiple_of(8) {
+                3300.0
+            } else {
+                900.0
+            };
+            if daemon.take(units, now).is_ok() {
+                admitted.push((now, units));
+            }
+        }
+    }
+    let terms = terms(74);
+    let allowed = (terms.rate * WINDOW as f64 + terms.burst) * 1.1 + 7500.0;
+    // Each half second is the start of a window.
+    let most = (0..36_u64).map(|half| {
+        let start = millis(2000 + half * 500);
+        let inside = admitted
+            .iter()
+            .filter(|(at, _)| *at >= start && *at < start + Duration::from_secs(WINDOW));
+        inside.map(|(_, units)| units).sum::<f64>()
+    });
+    let most = most.fold(0.0, f64::max);
+    assert!(most <= allowed, "{most} of {allowed}");
+}
+
+/// Large requests are admitted under pressure of small ones, too.
+#[test]
+fn large_requests_are_not_starved_by_small_ones() {
+    let mut part = Allowance::open(TERMS, millis(0));
+    let mut asked = [0, 0];
+    let mut served = [0, 0];
+    let mut draw: u64 = 88_172_645_463_325_252;
+    for step in 0..40_000_u64 {
+        draw ^= draw << 13;
+        draw ^= draw >> 7;
+        draw ^= draw << 17;
+        let large = draw.is_multiple_of(10);
+        let units = if large { 900.0 } else { 100.0 };
+        asked[usize::from(large)] += 1;
+        if part.take(units, millis(2000 + step * 10)).is_ok() {
+            served[usize::from(large)] += 1;
+        }
+    }
+    // At least half as often as all, as the users' gate asks.
+    let all = f64::from(served[0] + served[1]) / f64::from(asked[0] + asked[1]);
+    let large = f64::from(served[1]) / f64::from(asked[1]);
+    assert!(
+        large >= all / 2.0,
+        "{large} of {all}: {served:?} of {asked:?}"
+    );
+}
