Admit nothing before the other daemons are known, and divide a part that was the whole

Change: a part shrinks in proportion when it is divided among more daemons; requests are refused with a time to come back, and the daemon is unready, until the daemons' rows were read. Test first failed on the level kept (5,600 in place of 700).

--- a/src/coordination/allowance.rs
+++ b/src/coordination/allowance.rs
@@ -77,6 +77,10 @@
     /// Takes in new terms; a level above the new part is cut when the workspace's limit itself fell.
     pub fn set(&mut self, terms: Terms, now: Duration) {
         self.advance(now);
+        if terms.daemons > self.terms.daemons && self.level > 0.0 {
+            // Others hold the rest of what was this daemon's while it knew fewer of them.
+            self.level *= self.terms.daemons as f64 / terms.daemons as f64;
+        }
         let lowered = terms.rate < self.terms.rate || terms.burst < self.terms.burst;
         self.terms = terms;
         if lowered {
--- a/src/serving/admit.rs
+++ b/src/serving/admit.rs
@@ -76,7 +76,7 @@
 /// [`Refusal`]; nothing was taken from any limit.
 pub fn admit(node: &Node, call: &Call, arrived: Duration) -> Result<Ticket, Refusal> {
     let catalog = node.belief.catalog.load_full();
-    let Some(catalog) = catalog else {
+    let Some(catalog) = catalog.filter(|_| node.peers.is_listed()) else {
         return Err(Refusal::busy("no_configuration", UNCONFIGURED));
     };
     let route = catalog.route(&call.host, call.path());
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -157,6 +157,7 @@
     /// Whether new connections are welcome.
     pub fn is_ready(&self) -> bool {
         self.belief.catalog.load().is_some()
+            && self.peers.is_listed()
             && !self.belief.view.load().all.is_empty()
             && !self.leaving.is_cancelled()
     }
--- a/src/serving/peers/discover.rs
+++ b/src/serving/peers/discover.rs
@@ -1,6 +1,7 @@
 //! Registers this daemon in the store and reads who else is there.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -96,6 +97,7 @@
         inner.retain(|name, peer| listed.contains(name) || peer.heard + LOST > now);
     }
     node.peers.divide(&node.settings.name, now);
+    node.peers.listed.store(true, Ordering::Relaxed);
     if !own_row {
         register(node, line).await;
     }
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -59,6 +59,7 @@
     inner: Mutex<HashMap<Name, Peer>>,
     names: ArcSwap<Vec<Name>>,
     sequence: AtomicU64,
+    listed: AtomicBool,
     strangers: Notify,
     /// Signals that a workspace's part is running low.
     pub short: Notify,
@@ -73,6 +74,7 @@
             inner: Mutex::default(),
             names: ArcSwap::from_pointee(vec![own.clone()]),
             sequence: AtomicU64::default(),
+            listed: AtomicBool::default(),
             strangers: Notify::default(),
             short: Notify::default(),
             operator_behind: Mutex::default(),
@@ -85,6 +87,11 @@
         self.names.load_full()
     }
 
+    /// Whether the other daemons have been read; until then nothing can be divided.
+    pub fn is_listed(&self) -> bool {
+        self.listed.load(Ordering::Relaxed)
+    }
+
     /// Number of those daemons.
     pub fn count(&self) -> usize {
         self.names.load().len()
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -204,3 +204,16 @@
         "{large} of {all}: {served:?} of {asked:?}"
     );
 }
+
+/// A daemon that has just started knows no other yet; what it held then is divided with those it learns of.
+#[test]
+fn part_of_a_daemon_that_knew_no_other_is_divided() {
+    let alone = Terms {
+        daemons: 1,
+        ..TERMS
+    };
+    let mut part = Allowance::open(alone, millis(0));
+    assert_eq!(part.level(millis(500)), 5600.0);
+    part.set(TERMS, millis(500));
+    assert_eq!(part.level(millis(500)), 700.0);
+}
