Count the word of all zone-mates in an isolation, and let an adapter that waits to leave keep its place

Others can only prove a daemon silent if a zone-mate that had heard it says so; a mate that answers does not. Model and unit tests cover it; a mate that would testify otherwise is caught.

A second hole, by reading: a change that was under way when an engine started anew under its identifier went on with the books of the new start; accounts are numbered now.

--- a/src/coordination/holder.rs
+++ b/src/coordination/holder.rs
@@ -62,8 +62,10 @@
     identity: Identity,
     held: Option<Held>,
     seen: BTreeMap<Arc<str>, Seen>,
+    /// When the latest message was sent that the platform or a zone-mate with a seat answered.
     contact: Duration,
-    alone: bool,
+    /// When the latest message was sent that each zone-mate has answered; none without zone-mates.
+    mates: Option<Duration>,
 }
 
 impl Holder {
@@ -96,7 +98,7 @@
             held: None,
             seen: BTreeMap::new(),
             contact: now,
-            alone: true,
+            mates: None,
         }
     }
 
@@ -136,27 +138,33 @@
 
     /// Says whether a daemon has been cut off for so long that its seat may be taken over.
     ///
-    /// A daemon without zone-mates cannot be: nobody could tell that it is gone.
+    /// Others take it over when all zone-mates that they ask, among them each one with a seat, have not heard it for
+    /// longer than that, and one of them had. So one with a seat that answers is enough, or all that are known; a
+    /// daemon without zone-mates is never isolated.
     pub fn isolated(&self, now: Duration, timing: &Timing) -> bool {
-        !self.alone && now >= self.contact + timing.terms.shortened(timing.isolation)
+        let isolation = timing.terms.shortened(timing.isolation);
+        self.mates
+            .is_some_and(|answered| now >= self.contact.max(answered) + isolation)
     }
 
-    /// Takes in that platform or a zone-mate answered a message that was sent at a time.
-    ///
-    /// After an isolation the seat is used only once the table has confirmed it.
+    /// Takes in that the platform or a zone-mate with a seat answered a message that was sent at a time.
     pub fn contacted(&mut self, sent: Duration, now: Duration, timing: &Timing) {
-        if self.isolated(now, timing) {
-            self.suspend();
-        }
+        self.end_isolation(now, timing);
         self.contact = self.contact.max(sent);
     }
 
-    /// Takes in whether the daemon knows of no zone-mate.
-    pub fn set_alone(&mut self, alone: bool, now: Duration) {
-        if self.alone && !alone {
-            self.contact = self.contact.max(now);
+    /// Takes in when the latest message was sent that each zone-mate has answered, or the time at which it became known;
+    /// none without zone-mates.
+    pub fn set_mates(&mut self, answered: Option<Duration>, now: Duration, timing: &Timing) {
+        self.end_isolation(now, timing);
+        self.mates = answered;
+    }
+
+    /// After an isolation the seat is used only once the table has confirmed it.
+    fn end_isolation(&mut self, now: Duration, timing: &Timing) {
+        if self.isolated(now, timing) {
+            self.suspend();
         }
-        self.alone = alone;
     }
 
     /// Returns what to write next, if anything.
--- a/src/coordination/member.rs
+++ b/src/coordination/member.rs
@@ -83,6 +83,13 @@
         self.peers.iter().filter(move |(_, peer)| staying(peer))
     }
 
+    /// Returns when the latest message was sent that each daemon of a zone has answered; for one that never has, when it
+    /// became known. None without daemons in the zone that stay.
+    pub fn answered_by_all(&self, zone: &str) -> Option<Duration> {
+        let answered = |(_, peer): (&SocketAddr, &Peer)| peer.answered.unwrap_or(peer.added);
+        self.mates(zone).map(answered).min()
+    }
+
     /// Says whether a process is gone because a later one answered at its address.
     pub fn replaced(&self, address: SocketAddr, session: &str, since: Duration) -> bool {
         let peer = self.peers.get(&address);
--- a/src/daemon/membership.rs
+++ b/src/daemon/membership.rs
@@ -130,10 +130,13 @@
         let mut live = directory.live(now, timeout);
         live.push(node.member());
         live.sort();
-        let alone = directory.mates(&node.settings.zone).next().is_none();
+        let answered = directory.answered_by_all(&node.settings.zone);
         self.live.store(Arc::new(live));
         drop(directory);
-        node.share.holder.lock().set_alone(alone, now);
+        let timing = node.share.timing(&node.settings);
+        let mut holder = node.share.holder.lock();
+        holder.set_mates(answered, now, &timing);
+        drop(holder);
         share::refresh(node);
     }
 
--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -1,8 +1,9 @@
 //! What the placer knows of engines, and the demand that it has heard of. No sockets.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
+use super::account::{Account, Target};
 use super::adapter::Report;
 use super::endpoint::View;
 use crate::coordination::stock::{self, COPY_LOAD, Engine, Need, Stock};
@@ -46,9 +47,6 @@
 /// Copies of each adapter of a busy model that are placed ahead of demand.
 const ADAPTER_COPIES: usize = 2;
 
-/// Pause before the report of an engine that carries out an unknown order is read again.
-const BUSY_REST: Duration = Duration::from_millis(400);
-
 /// Load from which a model's adapters are placed ahead of demand.
 const BUSY_LOAD: f64 = 0.05;
 
@@ -108,27 +106,6 @@
     }
 }
 
-/// One engine in the placer's books.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Account {
-    /// Unix time of its start, as its entry says.
-    pub born: Option<u64>,
-    /// Orders that it has accepted; none until a report was read.
-    pub sequence: Option<u64>,
-    /// Models, their adapters, and when each adapter was last asked for.
-    pub models: BTreeMap<Name, BTreeMap<Name, Duration>>,
-    /// When models were seen first.
-    pub since: HashMap<Name, Duration>,
-    /// Models that load without the weight store.
-    pub cached: BTreeSet<Name>,
-    /// Whether a change of models or the reading of a report is under way.
-    pub busy: bool,
-    /// Whether an order for an adapter is under way, or one for a model that is not accepted yet.
-    pub ordering: bool,
-    /// No order is sent before this time, after one was refused.
-    pub rest_until: Duration,
-}
-
 /// All books of the placer.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -144,6 +121,8 @@
     rates: HashMap<Name, (Rate, Rate)>,
     uses: HashMap<(Name, Name), Duration>,
     store_loads: VecDeque<Duration>,
+    /// Accounts opened so far.
+    opened: u64,
 }
 
 impl Ledger {
@@ -180,21 +159,26 @@
         view: &View,
         services: &HashMap<Name, std::sync::Arc<Service>>,
         now: Duration,
-    ) -> Vec<Name> {
+    ) -> Vec<Target> {
         let is_engine = |id: &Name| {
             let endpoint = view.all.get(id)?;
             services.get(&endpoint.entry.service)?.engine.as_ref()
         };
+        let loading = &mut self.loading;
         self.accounts.retain(|id, account| {
             let born = view.all.get(id).map(|endpoint| endpoint.entry.born);
-            born == Some(account.born)
+            let stays = born == Some(account.born);
+            if !stays {
+                loading.retain(|(engine, _, _)| engine != id);
+            }
+            stays
         });
-        let accounts = &self.accounts;
-        self.loading.retain(|(id, _, _)| accounts.contains_key(id));
         for (id, endpoint) in &view.all {
             if is_engine(id).is_some() && !endpoint.entry.draining {
-                let account = self.accounts.entry(id.clone()).or_default();
-                account.born = endpoint.entry.born;
+                self.accounts.entry(id.clone()).or_insert_with(|| {
+                    self.opened += 1;
+                    Account::open(self.opened, endpoint.entry.born)
+                });
             }
         }
         let unread = self.accounts.iter_mut().filter(|(_, account)| {
@@ -202,53 +186,27 @@
         });
         let unread = unread.map(|(id, account)| {
             account.busy = true;
-            id.clone()
+            account.target(id)
         });
         unread.collect()
     }
 
+    /// The account that a change was begun with; none once it was closed or opened anew.
+    pub fn at(&mut self, target: &Target) -> Option<&mut Account> {
+        let account = self.accounts.get_mut(&target.engine);
+        account.filter(|account| account.is(target))
+    }
+
+    /// The account of an engine as it is now.
+    pub fn target(&self, engine: &Name) -> Option<Target> {
+        self.accounts.get(engine).map(|it| it.target(engine))
+    }
+
     /// Takes in an engine's report; says whether it was as new as the last order, since reports lag.
-    pub fn read(&mut self, id: &str, report: Report, now: Duration) -> bool {
-        let Some(account) = self.accounts.get_mut(id) else {
-            return true;
-        };
-        if account
-            .sequence
-            .is_some_and(|known| report.sequence < known)
-        {
-            return false;
-        }
-        let uses = &self.uses;
-        let models = report.models.into_iter().map(|(model, adapters)| {
-            let used = |adapter: Name| {
-                let key = (model.clone(), adapter.clone());
-                let at = uses.get(&key).copied().unwrap_or(Duration::ZERO);
-                (adapter, at)
-            };
-            let adapters = adapters.into_iter().map(used).collect();
-            (model.clone(), adapters)
-        });
-        account.models = models.collect();
-        let known = account.since.clone();
-        let names = account.models.keys();
-        account.since = names
-            .map(|model| (model.clone(), known.get(model).copied().unwrap_or(now)))
-            .collect();
-        for (model, adapter) in report.pending {
-            account
-                .models
-                .entry(model)
-                .or_default()
-                .insert(adapter, now);
-        }
-        account.cached = report.cached.into_iter().collect();
-        if report.busy && account.sequence.is_none() {
-            // What an order of an earlier holder will leave there is not known yet.
-            account.rest_until = now + BUSY_REST;
-            return false;
-        }
-        account.sequence = Some(report.sequence);
-        true
+    pub fn read(&mut self, target: &Target, report: Report, now: Duration) -> bool {
+        let account = self.accounts.get_mut(&target.engine);
+        let account = account.filter(|account| account.is(target));
+        account.is_none_or(|account| account.read(report, &self.uses, now))
     }
 
     /// Forgets the numbers of accepted orders, so that every report is read again before the first order.
@@ -266,6 +224,8 @@
         };
         let largest = engine.models.values().map(|model| model.megabytes);
         let largest = largest.fold(1.0, f64::max);
+        let adapters = engine.models.values().map(|model| model.adapter_megabytes);
+        let adapter_megabytes = adapters.fold(0.0, f64::max);
         let mut needs = HashMap::new();
         let totals = self.totals(now);
         for (name, model) in &engine.models {
@@ -301,8 +261,9 @@
             (endpoint.entry.service == service.name).then(|| Engine {
                 id: id.clone(),
                 zone: endpoint.entry.zone.clone(),
-                megabytes: engine.megabytes,
-                places: engine.adapter_places,
+                // Adapters that wait for their last requests still take room.
+                megabytes: engine.megabytes - account.leaving.len() as f64 * adapter_megabytes,
+                places: engine.adapter_places.saturating_sub(account.leaving.len()),
                 models: account.models.clone(),
                 fresh: account
                     .since
@@ -311,14 +272,8 @@
                     .map(|(model, _)| model.clone())
                     .collect(),
                 cached: account.cached.clone(),
-                busy: account.busy
-                    || account.ordering
-                    || account.sequence.is_none()
-                    || account.rest_until > now,
-                ordering: account.busy
-                    || account.ordering
-                    || account.sequence.is_none()
-                    || account.rest_until > now,
+                busy: account.has_to_wait(now),
+                ordering: account.has_to_wait(now),
                 usable: is_usable(id),
             })
         });
@@ -410,7 +365,10 @@
         now: Duration,
     ) -> Option<stock::Berth> {
         let (model, adapter, zone) = wanted;
-        stock::berth(&stock.engines, model, adapter, zone, now)
+        let key = (model.clone(), adapter.clone());
+        let berth = stock::berth(&stock.engines, model, adapter, zone, now)?;
+        let account = self.accounts.get(&berth.engine)?;
+        (!account.leaving.contains(&key)).then_some(berth)
     }
 
     /// An engine that holds an adapter.
@@ -424,16 +382,11 @@
     }
 
     /// What an engine holds, as it is told to all daemons.
-    pub fn holding(&self, id: &Name) -> Option<Holding> {
-        let account = self.accounts.get(id)?;
-        account.sequence?;
-        let models = account.models.iter().map(|(model, adapters)| {
-            let adapters = adapters.keys().cloned().collect();
-            (model.clone(), adapters)
-        });
+    pub fn holding(&self, engine: &Name) -> Option<Holding> {
+        let models = self.accounts.get(engine)?.holds()?;
         Some(Holding {
-            engine: id.clone(),
-            models: models.collect(),
+            engine: engine.clone(),
+            models,
         })
     }
 }
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -4,6 +4,7 @@
 //! A request's way: [`accept`], [`admit`], [`choose`], [`relay`], [`send`], [`stream`]. Duties: [`feed`], [`peers`], [`placer`].
 
 pub mod accept;
+pub mod account;
 pub mod adapter;
 pub mod admit;
 pub mod belief;
--- a/src/serving/placer/change.rs
+++ b/src/serving/placer/change.rs
@@ -9,14 +9,18 @@
 use super::{answered, end, tell};
 use crate::coordination::stock::Step;
 use crate::serving::Node;
+use crate::serving::account::{Account, Target};
 use crate::serving::adapter::{Operation, Report, Taken};
 use crate::state::record::Name;
 
 /// Time that an adapter's load takes at full speed, with a margin.
 const ADAPTER_LOAD: Duration = Duration::from_millis(25);
 
-/// Time given to requests that use an adapter which is to leave.
-const ADAPTER_DRAIN: Duration = Duration::from_millis(600);
+/// Pause between two readings of a report while an adapter waits for the requests that use it.
+const LEAVING_POLL: Duration = Duration::from_millis(1000);
+
+/// Time after which an adapter that waits is no longer watched; it lasts as long as the longest requests do.
+const LONGEST_LEAVING: Duration = Duration::from_secs(20);
 
 /// Time for which all daemons are told before an engine drops a model.
 const NOTICE: Duration = Duration::from_millis(120);
@@ -30,67 +34,108 @@
 /// Loads an adapter, after another one has left if that has to be.
 pub async fn adapters(
     node: Arc<Node>,
-    id: Name,
+    target: Target,
     yields: Option<(Name, Name)>,
     wanted: (Name, Name),
 ) {
-    let done = exchange_adapters(&node, &id, yields, &wanted).await;
-    if !done {
-        settle(&node, &id).await;
+    let outcome = exchange_adapters(&node, &target, yields, &wanted).await;
+    if outcome == Outcome::Unknown {
+        settle(&node, &target).await;
+    }
+    {
+        let mut ledger = node.placer.ledger.lock();
+        ledger.pending.retain(|pending| *pending != wanted);
     }
-    let mut ledger = node.placer.ledger.lock();
-    ledger.pending.retain(|pending| *pending != wanted);
-    drop(ledger);
-    answered(&node, &id, !done);
+    answered(&node, &target, outcome == Outcome::Unknown);
+    if outcome == Outcome::Waits {
+        watch(&node, &target).await;
+    }
+}
+
+/// What became of an exchange of adapters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    /// The wanted adapter is there.
+    Done,
+    /// The other one waits for the requests that use it; nothing was loaded in its place.
+    Waits,
+    /// An order was refused or not answered.
+    Unknown,
 }
 
 async fn exchange_adapters(
     node: &Node,
-    id: &Name,
+    target: &Target,
     yields: Option<(Name, Name)>,
     (model, adapter): &(Name, Name),
-) -> bool {
+) -> Outcome {
     if let Some((model, adapter)) = yields {
-        remove_adapter(node, id, &model, &adapter);
-        let taken = order(node, id, Operation::Unload, &model, Some(&adapter)).await;
+        remove_adapter(node, target, &model, &adapter);
+        let taken = order(node, target, Operation::Unload, &model, Some(&adapter)).await;
         match taken {
             Some(Taken::Done) => {}
-            // It waits for the requests that use it.
-            Some(Taken::Accepted) => sleep(ADAPTER_DRAIN).await,
-            _ => return false,
+            Some(Taken::Accepted) => {
+                if let Some(account) = node.placer.ledger.lock().at(target) {
+                    account.leave(&model, &adapter);
+                }
+                return Outcome::Waits;
+            }
+            _ => return Outcome::Unknown,
         }
     }
-    match order(node, id, Operation::Load, model, Some(adapter)).await {
+    match order(node, target, Operation::Load, model, Some(adapter)).await {
         Some(Taken::Accepted) => sleep(ADAPTER_LOAD).await,
         Some(Taken::Done) => {}
-        _ => return false,
+        _ => return Outcome::Unknown,
     }
-    let now = node.now();
-    let mut ledger = node.placer.ledger.lock();
-    let account = ledger.accounts.get_mut(id);
-    let adapters = account.and_then(|account| account.models.get_mut(model));
-    if let Some(adapters) = adapters {
-        adapters.insert(adapter.clone(), now);
+    if let Some(account) = node.placer.ledger.lock().at(target) {
+        account.add(model, adapter, node.now());
     }
-    true
+    Outcome::Done
 }
 
-fn remove_adapter(node: &Node, id: &Name, model: &Name, adapter: &Name) {
+fn remove_adapter(node: &Node, target: &Target, model: &Name, adapter: &Name) {
     let holding = {
         let mut ledger = node.placer.ledger.lock();
-        let account = ledger.accounts.get_mut(id);
-        let adapters = account.and_then(|account| account.models.get_mut(model));
-        if let Some(adapters) = adapters {
-            adapters.remove(adapter);
+        if let Some(account) = ledger.at(target) {
+            account.remove(model, adapter);
         }
-        ledger.holding(id)
+        ledger.holding(&target.engine)
     };
     tell(node, holding.into_iter().collect());
 }
 
+/// Reads reports until the adapters that were told to leave an engine have left it.
+async fn watch(node: &Node, target: &Target) {
+    let began = node.now();
+    while node.placer.is_holder(node) && node.now() < began + LONGEST_LEAVING {
+        sleep(LEAVING_POLL).await;
+        {
+            let mut ledger = node.placer.ledger.lock();
+            let Some(account) = ledger.at(target) else {
+                return;
+            };
+            if account.leaving.is_empty() {
+                return;
+            }
+            if account.busy || account.ordering {
+                continue;
+            }
+        }
+        let Some(report) = report(node, &target.engine).await else {
+            continue;
+        };
+        let mut ledger = node.placer.ledger.lock();
+        let at_rest = |account: &mut Account| !account.busy && !account.ordering;
+        if ledger.at(target).is_some_and(at_rest) {
+            ledger.read(target, report, node.now());
+        }
+    }
+}
+
 /// Unloads what has to leave an engine, and loads what takes its place.
-pub async fn models(node: Arc<Node>, step: Step, expected: Duration) {
-    let id = &step.engine;
+pub async fn models(node: Arc<Node>, target: Target, step: Step, expected: Duration) {
+    let id = &target.engine;
     if !step.unload.is_empty() {
         let holding = node.placer.ledger.lock().holding(id);
         tell(&node, holding.into_iter().collect());
@@ -98,19 +143,20 @@
     }
     for model in &step.unload {
         let is_gone = |report: &Report| !report.models.contains_key(model);
-        if !carry_out(&node, id, Operation::Unload, model, Duration::ZERO, is_gone).await {
-            return end(&node, id, true);
+        let none = Duration::ZERO;
+        if !carry_out(&node, &target, Operation::Unload, model, none, is_gone).await {
+            return end(&node, &target, true);
         }
     }
     let began = node.now();
     let model = &step.load;
     let beside: Vec<Name> = {
-        let ledger = node.placer.ledger.lock();
-        let account = ledger.accounts.get(id);
+        let mut ledger = node.placer.ledger.lock();
+        let account = ledger.at(&target);
         account.map_or_else(Vec::new, |account| account.models.keys().cloned().collect())
     };
     let is_there = |report: &Report| report.models.contains_key(model);
-    let done = carry_out(&node, id, Operation::Load, model, expected, is_there).await;
+    let done = carry_out(&node, &target, Operation::Load, model, expected, is_there).await;
     spdlog::info!(
         "placer: load engine={id} model={model} beside={} unloaded={} from_store={} done={done} took_ms={}",
         beside.join(","),
@@ -118,25 +164,25 @@
         step.from_store,
         node.now().saturating_sub(began).as_millis()
     );
-    end(&node, id, !done);
+    end(&node, &target, !done);
 }
 
 /// Gives an order for a model and waits until it is complete.
 async fn carry_out(
     node: &Node,
-    id: &Name,
+    target: &Target,
     operation: Operation,
     model: &Name,
     expected: Duration,
     is_done: impl Fn(&Report) -> bool,
 ) -> bool {
-    let taken = order(node, id, operation, model, None).await;
+    let taken = order(node, target, operation, model, None).await;
     match taken {
         Some(Taken::Accepted | Taken::Done) => {
-            finished(node, id, expected, node.now(), is_done).await
+            finished(node, target, expected, node.now(), is_done).await
         }
         _ => {
-            settle(node, id).await;
+            settle(node, target).await;
             false
         }
     }
@@ -145,22 +191,25 @@
 /// Waits until an engine's report shows that an order is complete, and takes the report over.
 async fn finished(
     node: &Node,
-    id: &Name,
+    target: &Target,
     expected: Duration,
     began: Duration,
     is_done: impl Fn(&Report) -> bool,
 ) -> bool {
     sleep(expected.max(RESEND * 2)).await;
     while node.now() < began + expected * 3 + LOAD_SLACK {
-        if let Some(report) = report(node, id).await {
+        if node.placer.ledger.lock().at(target).is_none() {
+            return false;
+        }
+        if let Some(report) = report(node, &target.engine).await {
             let done = is_done(&report) && !report.busy;
             let failed = !is_done(&report) && !report.busy;
-            if (done || failed) && node.placer.ledger.lock().read(id, report, node.now()) {
+            if (done || failed) && node.placer.ledger.lock().read(target, report, node.now()) {
                 return done;
             }
         }
         sleep(LOAD_POLL).await;
     }
-    settle(node, id).await;
+    settle(node, target).await;
     false
 }
--- a/src/serving/placer/mod.rs
+++ b/src/serving/placer/mod.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use super::account::Target;
 use super::ledger::Ledger;
 use super::{Node, peers};
 use crate::coordination::election::Election;
@@ -145,28 +146,31 @@
 }
 
 /// Ends a change of an engine's models: it is free for another, and all daemons learn what it holds.
-fn end(node: &Node, id: &Name, rest: bool) {
+fn end(node: &Node, target: &Target, rest: bool) {
     {
         let mut ledger = node.placer.ledger.lock();
+        let Some(account) = ledger.at(target) else {
+            return;
+        };
+        account.busy = false;
+        let id = &target.engine;
         ledger.loading.retain(|(engine, _, _)| engine != id);
-        if let Some(account) = ledger.accounts.get_mut(id) {
-            account.busy = false;
-        }
     }
-    answered(node, id, rest);
+    answered(node, target, rest);
 }
 
 /// Lets the next order begin at an engine, and tells all daemons what it holds.
-fn answered(node: &Node, id: &Name, rest: bool) {
+fn answered(node: &Node, target: &Target, rest: bool) {
     let holding = {
         let mut ledger = node.placer.ledger.lock();
-        if let Some(account) = ledger.accounts.get_mut(id) {
-            account.ordering = false;
-            if rest {
-                account.rest_until = node.now() + REST;
-            }
+        let Some(account) = ledger.at(target) else {
+            return;
+        };
+        account.ordering = false;
+        if rest {
+            account.rest_until = node.now() + REST;
         }
-        ledger.holding(id)
+        ledger.holding(&target.engine)
     };
     tell(node, holding.into_iter().collect());
     node.placer.urgent.notify_one();
--- a/src/serving/placer/order.rs
+++ b/src/serving/placer/order.rs
@@ -9,6 +9,7 @@
 use super::end;
 use crate::protocol::connection::keep_alive;
 use crate::serving::Node;
+use crate::serving::account::Target;
 use crate::serving::adapter::{Operation, Order, Report, Taken};
 use crate::state::record::Name;
 use crate::transport::exchange::Connection;
@@ -26,15 +27,15 @@
 const REPORT_LAG: Duration = Duration::from_millis(400);
 
 /// Reads an engine's report into the books.
-pub async fn read(node: Arc<Node>, id: Name) {
-    let rest = match report(&node, &id).await {
+pub async fn read(node: Arc<Node>, target: Target) {
+    let rest = match report(&node, &target.engine).await {
         Some(report) => {
-            node.placer.ledger.lock().read(&id, report, node.now());
+            node.placer.ledger.lock().read(&target, report, node.now());
             false
         }
         None => true,
     };
-    end(&node, &id, rest);
+    end(&node, &target, rest);
 }
 
 /// Reads an engine's report.
@@ -59,15 +60,20 @@
     Connection::open(address, ORDER_TIMEOUT).await.ok()
 }
 
-/// Sends an order until it is answered, the lease ends or the engine is gone.
+/// Sends an order until it is answered, the lease ends or the engine is gone or started anew.
 pub async fn order(
     node: &Node,
-    id: &Name,
+    target: &Target,
     operation: Operation,
     model: &Name,
     adapter: Option<&Name>,
 ) -> Option<Taken> {
-    let expected = node.placer.ledger.lock().accounts.get(id)?.sequence?;
+    let id = &target.engine;
+    let (expected, born) = {
+        let mut ledger = node.placer.ledger.lock();
+        let account = ledger.at(target)?;
+        (account.sequence?, account.born)
+    };
     let order = Order {
         operation,
         model: model.clone(),
@@ -79,6 +85,9 @@
     for copy in 0..ORDER_COPIES {
         let view = node.belief.view.load_full();
         let entry = &view.all.get(id)?.entry;
+        if entry.born != born || node.placer.ledger.lock().at(target).is_none() {
+            return None;
+        }
         let Some(mut connection) = connection(node, id, entry.address).await else {
             sleep(RESEND).await;
             continue;
@@ -108,29 +117,29 @@
         let taken = (node.adapter.taken)(&parts);
         let unloaded = operation == Operation::Unload && taken == Taken::Done;
         if taken == Taken::Accepted || unloaded {
-            advance(node, id, expected + 1);
+            advance(node, target, expected + 1);
         }
         return Some(taken);
     }
     None
 }
 
-fn advance(node: &Node, id: &Name, sequence: u64) {
+fn advance(node: &Node, target: &Target, sequence: u64) {
     let mut ledger = node.placer.ledger.lock();
-    if let Some(account) = ledger.accounts.get_mut(id) {
+    if let Some(account) = ledger.at(target) {
         account.sequence = Some(sequence);
     }
 }
 
 /// Reads the report of an engine whose state is not certain any more, once it must show the last order.
-pub async fn settle(node: &Node, id: &Name) {
+pub async fn settle(node: &Node, target: &Target) {
     sleep(REPORT_LAG).await;
-    let report = report(node, id).await;
+    let report = report(node, &target.engine).await;
     let mut ledger = node.placer.ledger.lock();
-    if let Some(account) = ledger.accounts.get_mut(id) {
+    if let Some(account) = ledger.at(target) {
         account.sequence = None;
     }
     if let Some(report) = report {
-        ledger.read(id, report, node.now());
+        ledger.read(target, report, node.now());
     }
 }
--- a/src/serving/placer/plan.rs
+++ b/src/serving/placer/plan.rs
@@ -7,6 +7,7 @@
 use super::{change, order};
 use crate::coordination::stock::Stock;
 use crate::protocol::digest::Body;
+use crate::serving::account::Target;
 use crate::serving::endpoint::View;
 use crate::serving::ledger::Ledger;
 use crate::serving::{Node, peers};
@@ -30,8 +31,8 @@
     if node.placer.may_order(node) && !node.placer.confirmed.swap(true, Ordering::Relaxed) {
         ledger.confirm();
     }
-    for id in ledger.follow(&view, &catalog.services, now) {
-        tokio::spawn(order::read(node.clone(), id));
+    for target in ledger.follow(&view, &catalog.services, now) {
+        tokio::spawn(order::read(node.clone(), target));
     }
     if !node.placer.may_order(node) {
         return;
@@ -69,27 +70,22 @@
         let Some(berth) = ledger.berth(&stock, &wanted, now) else {
             continue;
         };
-        begin(ledger, &mut stock, &berth.engine);
+        let Some(target) = begin(ledger, &mut stock, &berth.engine) else {
+            continue;
+        };
         ledger.pending.push(key.clone());
-        tokio::spawn(change::adapters(
-            node.clone(),
-            berth.engine,
-            berth.yields,
-            key,
-        ));
+        tokio::spawn(change::adapters(node.clone(), target, berth.yields, key));
         begun += 1;
     }
     while begun < ADAPTER_ORDERS {
         let Some((engine, model, adapter)) = ledger.ahead(&stock, service) else {
             return;
         };
-        begin(ledger, &mut stock, &engine);
-        tokio::spawn(change::adapters(
-            node.clone(),
-            engine,
-            None,
-            (model, adapter),
-        ));
+        let Some(target) = begin(ledger, &mut stock, &engine) else {
+            return;
+        };
+        let wanted = (model, adapter);
+        tokio::spawn(change::adapters(node.clone(), target, None, wanted));
         begun += 1;
     }
 }
@@ -115,8 +111,10 @@
         if step.from_store {
             ledger.note_load(now);
         }
-        begin(ledger, &mut stock, &step.engine);
-        if let Some(account) = ledger.accounts.get_mut(&step.engine) {
+        let Some(target) = begin(ledger, &mut stock, &step.engine) else {
+            return;
+        };
+        if let Some(account) = ledger.at(&target) {
             account.busy = true;
             account
                 .models
@@ -128,16 +126,16 @@
             (true, Some(model)) => model.load_time,
             _ => CACHED_LOAD,
         };
-        tokio::spawn(change::models(node.clone(), step, expected));
+        tokio::spawn(change::models(node.clone(), target, step, expected));
     }
 }
 
 /// Lets no other order begin at an engine until this one was answered.
-fn begin(ledger: &mut Ledger, stock: &mut Stock, id: &Name) {
-    if let Some(account) = ledger.accounts.get_mut(id) {
-        account.ordering = true;
-    }
+fn begin(ledger: &mut Ledger, stock: &mut Stock, id: &Name) -> Option<Target> {
+    let target = ledger.target(id)?;
+    ledger.at(&target)?.ordering = true;
     if let Some(engine) = stock.engines.iter_mut().find(|engine| engine.id == *id) {
         engine.ordering = true;
     }
+    Some(target)
 }
--- /dev/null
+++ b/tests/isolation.rs
@@ -0,0 +1,105 @@
+//! When a daemon that is cut off from the platform stops using its seat.
+
+use std::time::Duration;
+
+use persimmoncroft::coordination::bucket::PARTS;
+use persimmoncroft::coordination::holder::{Holder, Identity};
+use persimmoncroft::coordination::loan::Terms;
+use persimmoncroft::coordination::member::Directory;
+use persimmoncroft::coordination::seat::{Snapshot, Timing};
+use persimmoncroft::state::member::Member;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+const TIMING: Timing = Timing {
+    lease: Duration::from_secs(3600),
+    isolation: Duration::from_secs(10),
+    terms: Terms {
+        loan: Duration::from_secs(5),
+        grant: SECOND,
+        drift_permille: 0,
+    },
+};
+
+fn member(port: u16, leaving: bool) -> Member {
+    Member {
+        address: ([127, 0, 0, 1], port).into(),
+        zone: "a".into(),
+        session: format!("s{port}").into(),
+        leaving,
+    }
+}
+
+/// A daemon with a seat that last heard from the platform at the first second.
+fn seated() -> Holder {
+    let identity = Identity {
+        session: "s0".into(),
+        address: ([127, 0, 0, 1], 7000).into(),
+        zone: "a".into(),
+    };
+    let mut holder = Holder::open(identity, SECOND);
+    let plan = holder.plan(&Snapshot::default(), 1, |_, _| false, SECOND, &TIMING);
+    let plan = plan.expect("an empty table offers a seat");
+    holder.sent(&plan);
+    holder.committed(&plan, 1, SECOND, SECOND);
+    holder
+}
+
+#[test]
+fn mate_without_a_seat_that_answers_keeps_the_seat_in_use() {
+    let mut holder = seated();
+    let mut directory = Directory::default();
+    directory.hear(&member(7001, false), SECOND);
+    for second in 1..60 {
+        let now = SECOND * second;
+        directory.answered(member(7001, false).address, now);
+        holder.set_mates(directory.answered_by_all("a"), now, &TIMING);
+        assert_eq!(holder.usable(now, &TIMING), PARTS / 8);
+    }
+}
+
+#[test]
+fn one_mate_that_does_not_answer_is_enough_to_stop() {
+    let mut holder = seated();
+    let mut directory = Directory::default();
+    for port in [7001, 7002] {
+        directory.hear(&member(port, false), SECOND);
+    }
+    for second in 1..=11 {
+        let now = SECOND * second;
+        directory.answered(member(7001, false).address, now);
+        holder.set_mates(directory.answered_by_all("a"), now, &TIMING);
+        assert_eq!(holder.isolated(now, &TIMING), second >= 11);
+    }
+    // Its answer, when it comes, does not give the seat back: it may have been taken over.
+    let now = SECOND * 12;
+    directory.answered(member(7002, false).address, now);
+    holder.set_mates(directory.answered_by_all("a"), now, &TIMING);
+    assert!(!holder.isolated(now, &TIMING));
+    assert_eq!(holder.usable(now, &TIMING), 0);
+}
+
+#[test]
+fn mate_that_said_it_leaves_is_not_waited_for() {
+    let mut holder = seated();
+    let mut directory = Directory::default();
+    directory.hear(&member(7001, false), SECOND);
+    holder.set_mates(directory.answered_by_all("a"), SECOND, &TIMING);
+    directory.hear(&member(7001, true), SECOND * 2);
+    let now = SECOND * 60;
+    holder.set_mates(directory.answered_by_all("a"), SECOND * 2, &TIMING);
+    assert!(!holder.isolated(now, &TIMING));
+}
+
+#[test]
+fn mate_with_a_seat_that_answers_is_enough() {
+    let mut holder = seated();
+    let mut directory = Directory::default();
+    directory.hear(&member(7001, false), SECOND);
+    for second in 1..60 {
+        let now = SECOND * second;
+        holder.set_mates(directory.answered_by_all("a"), now, &TIMING);
+        holder.contacted(now, now, &TIMING);
+        assert_eq!(holder.usable(now, &TIMING), PARTS / 8);
+    }
+}
--- a/tests/model_seat.rs
+++ b/tests/model_seat.rs
@@ -31,6 +31,10 @@
     without_proof: bool,
     /// Whether daemons know of no zone-mates, so that they cannot be isolated.
     alone: bool,
+    /// Whether zone-mates without seats answer in place of the platform.
+    by_mates: bool,
+    /// Whether those who answer a daemon remember that they heard it.
+    heard: bool,
     /// Writes whose answers are lost at most.
     lost_answers: u32,
     /// Restarts of the first daemon under its address at most.
@@ -42,6 +46,8 @@
     own_lease: TIMING.lease,
     without_proof: false,
     alone: false,
+    by_mates: false,
+    heard: true,
     lost_answers: 1,
     restarts: 1,
 };
@@ -79,7 +85,8 @@
     fn start(rules: &Rules) -> Self {
         let holder = |index| {
             let mut holder = Holder::open(identity(index, 0), Duration::ZERO);
-            holder.set_alone(rules.alone, Duration::ZERO);
+            let mates = (!rules.alone).then_some(Duration::ZERO);
+            holder.set_mates(mates, Duration::ZERO, &own_timing(rules));
             holder
         };
         Self {
@@ -156,7 +163,8 @@
             state.restarts += 1;
             state.contacts[0] = state.now;
             state.holders[0] = Holder::open(identity(0, 1), state.time());
-            state.holders[0].set_alone(false, state.time());
+            let now = state.time();
+            state.holders[0].set_mates(Some(now), now, &own_timing(rules));
             next.push(state);
         }
         next
@@ -165,8 +173,14 @@
     fn contact(&self, index: usize, rules: &Rules, next: &mut Vec<Self>) {
         let mut state = self.clone();
         let now = state.time();
-        state.contacts[index] = state.now;
-        state.holders[index].contacted(now, now, &own_timing(rules));
+        if rules.heard {
+            state.contacts[index] = state.now;
+        }
+        let timing = own_timing(rules);
+        match rules.by_mates {
+            true => state.holders[index].set_mates(Some(now), now, &timing),
+            false => state.holders[index].contacted(now, now, &timing),
+        }
         next.push(state);
     }
 
@@ -241,7 +255,11 @@
         alone: true,
         ..CORRECT
     };
-    for rules in [CORRECT, short] {
+    let by_mates = Rules {
+        by_mates: true,
+        ..CORRECT
+    };
+    for rules in [CORRECT, by_mates, short] {
         let (count, broken) = explore(rules);
         assert_eq!(broken, None);
         assert_eq!(count, MOST_STATES);
@@ -263,6 +281,46 @@
     assert!(explore(rules).1.is_some());
 }
 
+/// Both daemons claim seats, zone-mates go on answering both, and the second takes over what it may.
+fn both_are_answered_by_mates(rules: &Rules) -> State {
+    let mut state = State::start(rules);
+    for second in 1..=HORIZON {
+        state.now = second;
+        for index in 0..2 {
+            let mut next = Vec::new();
+            state.contact(index, rules, &mut next);
+            state = next.remove(0);
+        }
+        let writers = match second {
+            1 => 0..2,
+            5 => 1..2,
+            _ => 0..0,
+        };
+        for index in writers {
+            let mut next = Vec::new();
+            state.write(index, rules, &mut next);
+            state = next.pop().unwrap_or(state);
+        }
+    }
+    state
+}
+
+#[test]
+fn word_of_a_mate_that_would_testify_otherwise_is_caught() {
+    let long = Rules {
+        by_mates: true,
+        lease: 20 * SECOND,
+        own_lease: 20 * SECOND,
+        ..CORRECT
+    };
+    let unheard = Rules {
+        heard: false,
+        ..long
+    };
+    assert!(both_are_answered_by_mates(&long).holds(&long));
+    assert!(!both_are_answered_by_mates(&unheard).holds(&unheard));
+}
+
 #[test]
 fn holder_that_outstays_its_lease_is_caught() {
     let rules = Rules {
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -106,11 +106,12 @@
     let mut ledger = Ledger::default();
     let now = Duration::from_secs(1);
     assert_eq!(ledger.follow(&view, &services, now).len(), 3);
-    assert!(ledger.read("e1", report(4, &["m1"], false), now));
-    ledger.accounts.get_mut("e1").unwrap().sequence = Some(5);
-    assert!(!ledger.read("e1", report(4, &[], false), now));
+    let e1 = ledger.target(&"e1".into()).unwrap();
+    assert!(ledger.read(&e1, report(4, &["m1"], false), now));
+    ledger.at(&e1).unwrap().sequence = Some(5);
+    assert!(!ledger.read(&e1, report(4, &[], false), now));
     assert!(ledger.accounts["e1"].models.contains_key("m1"));
-    assert!(ledger.read("e1", report(5, &["m1", "m2"], false), now));
+    assert!(ledger.read(&e1, report(5, &["m1", "m2"], false), now));
 }
 
 /// A new holder finds an engine that carries out an order of the one before: `LIMIT` on trouble-2 of lakeshore-lab.
@@ -120,8 +121,9 @@
     let mut ledger = Ledger::default();
     let now = Duration::from_secs(1);
     ledger.follow(&view, &services, now);
-    assert!(!ledger.read("e1", report(11, &["m1"], true), now));
-    ledger.accounts.get_mut("e1").unwrap().busy = false;
+    let e1 = ledger.target(&"e1".into()).unwrap();
+    assert!(!ledger.read(&e1, report(11, &["m1"], true), now));
+    ledger.at(&e1).unwrap().busy = false;
     let stock = ledger.stock(&view, &services["models"], now);
     let engine = stock
         .engines
@@ -130,11 +132,7 @@
         .unwrap();
     assert!(engine.busy && engine.ordering);
     let later = now + Duration::from_secs(1);
-    assert!(
-        ledger
-            .follow(&view, &services, later)
-            .contains(&Name::from("e1"))
-    );
+    assert!(ledger.follow(&view, &services, later).contains(&e1));
 }
 
 #[test]
@@ -143,7 +141,8 @@
     let mut ledger = Ledger::default();
     let now = Duration::from_secs(1);
     ledger.follow(&view, &services, now);
-    ledger.read("e1", report(9, &["m1", "m2"], false), now);
+    let e1 = ledger.target(&"e1".into()).unwrap();
+    ledger.read(&e1, report(9, &["m1", "m2"], false), now);
     let endpoint = view.all.get_mut("e1").unwrap();
     let mut entry = (*endpoint.entry).clone();
     entry.born = Some(8);
@@ -153,6 +152,76 @@
     assert!(ledger.accounts["e1"].models.is_empty());
 }
 
+/// An engine that starts anew under its identifier gets another account: what was begun before does not go on there.
+#[test]
+fn change_of_an_earlier_start_touches_no_later_one() {
+    let (mut view, services) = fleet();
+    let mut ledger = Ledger::default();
+    let now = Duration::from_secs(1);
+    ledger.follow(&view, &services, now);
+    let before = ledger.target(&"e1".into()).unwrap();
+    ledger.read(&before, report(9, &["m1"], false), now);
+    ledger.loading.push(("e1".into(), "m2".into(), true));
+    let endpoint = view.all.get_mut("e1").unwrap();
+    let mut entry = (*endpoint.entry).clone();
+    entry.born = Some(8);
+    endpoint.entry = Arc::new(entry);
+    ledger.follow(&view, &services, now);
+    assert!(ledger.at(&before).is_none());
+    assert!(ledger.loading.is_empty());
+    assert!(ledger.read(&before, report(9, &["m1"], false), now));
+    assert!(ledger.accounts["e1"].models.is_empty());
+
+    let after = ledger.target(&"e1".into()).unwrap();
+    let late = Report {
+        born: Some(7),
+        ..report(9, &["m1"], false)
+    };
+    assert!(!ledger.read(&after, late, now));
+    assert_eq!(ledger.accounts["e1"].sequence, None);
+}
+
+/// An adapter that waits for its last requests still takes its place: `LIMIT` on trouble-1 of glockenhof-grown.
+#[test]
+fn adapter_that_waits_to_leave_takes_its_place_until_a_report_lacks_it() {
+    let (view, services) = fleet();
+    let mut ledger = Ledger::default();
+    let now = Duration::from_secs(1);
+    ledger.follow(&view, &services, now);
+    let e1 = ledger.target(&"e1".into()).unwrap();
+    let with = |sequence, adapters: &[&str]| Report {
+        models: [(
+            "m1".into(),
+            adapters.iter().map(|it| Name::from(*it)).collect(),
+        )]
+        .into(),
+        ..report(sequence, &[], false)
+    };
+    ledger.read(&e1, with(4, &["a1", "a2"]), now);
+    let account = ledger.at(&e1).unwrap();
+    account.busy = false;
+    account.sequence = Some(5);
+    account.leave(&"m1".into(), &"a1".into());
+    let places = |ledger: &mut Ledger| {
+        let stock = ledger.stock(&view, &services["models"], now);
+        let engine = stock.engines.iter().find(|engine| &*engine.id == "e1");
+        let engine = engine.unwrap();
+        let held: usize = engine.models.values().map(|adapters| adapters.len()).sum();
+        (engine.places - held, engine.megabytes)
+    };
+    assert_eq!(places(&mut ledger), (2, 99.0));
+    let holding = |ledger: &Ledger| ledger.holding(&"e1".into()).unwrap().models["m1"].clone();
+    assert_eq!(holding(&ledger), ["a2".into()]);
+
+    // A report from before the order, and one that still shows it.
+    assert!(!ledger.read(&e1, with(4, &["a1", "a2"]), now));
+    assert!(ledger.read(&e1, with(5, &["a1", "a2"]), now));
+    assert_eq!(places(&mut ledger), (2, 99.0));
+    assert_eq!(holding(&ledger), ["a2".into()]);
+    assert!(ledger.read(&e1, with(5, &["a2"]), now));
+    assert_eq!(places(&mut ledger), (3, 100.0));
+}
+
 /// Steady demand in uneven portions is no ramp; a model that takes over the traffic is one.
 #[test]
 fn ramps_are_told_from_noise() {
