--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -1,6 +1,7 @@
 //! The commands of `persimmonctl`.
 
 use std::io::Write as _;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
@@ -10,7 +11,7 @@
 use super::client::Client;
 use super::error::Error;
 use super::options::{Command, Keys, Options, Output, open, read_files};
-use super::show;
+use super::{line, show, summary, timeline};
 use crate::coordination::revision::Change;
 use crate::protocol::operator::Fleet;
 use crate::protocol::peer::Status;
@@ -25,8 +26,15 @@
 /// # Errors
 /// [`Error`], with the program's exit code.
 pub async fn run(options: Options) -> Result<(), Error> {
-    let client = open(&options.target)?;
     let output = options.output;
+    match &options.command {
+        Command::Explain { request, logs } if !logs.is_empty() => {
+            return explain(output, request, logs);
+        }
+        Command::Report { plot, logs } => return report(output, plot.as_deref(), logs),
+        _ => {}
+    }
+    let client = open(&options.target)?;
     match options.command {
         Command::Apply {
             id,
@@ -81,7 +89,8 @@
             print(output, &fleet, || show::fleet(&fleet));
             Ok(())
         }
-        Command::Explain { request } => {
+        Command::Report { .. } => Ok(()),
+        Command::Explain { request, .. } => {
             let explanation = client.explain(&request).await?;
             print(output, &explanation, || show::explanation(&explanation));
             Ok(())
@@ -94,6 +103,28 @@
     }
 }
 
+/// Puts together what all daemons logged about a request.
+fn explain(output: Output, request: &str, logs: &[PathBuf]) -> Result<(), Error> {
+    let lines = line::read(logs)?;
+    let entries = timeline::of(&lines.all, request);
+    if entries.is_empty() {
+        return Err(Error::Unknown(request.to_owned()));
+    }
+    print(output, &entries, || timeline::table(&entries));
+    Ok(())
+}
+
+/// Sums up what all daemons logged.
+fn report(output: Output, plot: Option<&Path>, logs: &[PathBuf]) -> Result<(), Error> {
+    let lines = line::read(logs)?;
+    if let Some(path) = plot {
+        summary::plot(&lines.all, path).map_err(Error::Usage)?;
+    }
+    let summary = summary::of(&lines);
+    print(output, &summary, || summary::tables(&summary));
+    Ok(())
+}
+
 async fn submit(
     client: &Client,
     output: Output,
--- a/src/cli/error.rs
+++ b/src/cli/error.rs
@@ -14,6 +14,8 @@
     Client(client::Error),
     /// revision {0} is accepted, but was not in force everywhere in time
     NotEverywhere(u64),
+    /// no line names the request {0}
+    Unknown(String),
 }
 
 impl std::error::Error for Error {}
@@ -30,6 +32,7 @@
         match self {
             Self::Usage(_) => 2,
             Self::NotEverywhere(_) => 7,
+            Self::Unknown(_) => 9,
             Self::Client(client::Error::Refused { status, .. }) => match *status {
                 StatusCode::UNPROCESSABLE_ENTITY => 3,
                 StatusCode::CONFLICT => 4,
--- /dev/null
+++ b/src/cli/line.rs
@@ -0,0 +1,126 @@
+//! Log lines of daemons, read again.
+
+use std::path::{Path, PathBuf};
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use super::error::Error;
+
+/// One line of a daemon's log.
+#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+pub struct Line {
+    /// Unix time in milliseconds, by the daemon's clock.
+    pub timestamp: u64,
+    /// Severity.
+    pub level: String,
+    /// Daemon that wrote it.
+    #[serde(default, rename(deserialize = "logger", serialize = "daemon"))]
+    pub daemon: String,
+    /// What happened.
+    #[serde(rename(deserialize = "payload", serialize = "event"))]
+    pub event: String,
+    /// Inputs and outcome.
+    #[serde(default, rename(deserialize = "kv", serialize = "fields"))]
+    pub fields: Map<String, Value>,
+}
+
+impl Line {
+    /// A field as text; numbers and words as they are printed.
+    pub fn text(&self, field: &str) -> Option<String> {
+        self.fields.get(field).map(|value| match value {
+            Value::String(text) => text.clone(),
+            value => value.to_string(),
+        })
+    }
+
+    /// A field that counts something.
+    pub fn number(&self, field: &str) -> Option<u64> {
+        self.fields.get(field).and_then(Value::as_u64)
+    }
+
+    /// All fields but some, for a table.
+    pub fn details(&self, but: &[&str]) -> String {
+        let fields = self.fields.keys().filter(|key| !but.contains(&&***key));
+        let texts = fields.map(|key| format!("{key}={}", self.text(key).unwrap_or_default()));
+        texts.collect::<Vec<_>>().join(" ")
+    }
+}
+
+/// Lines in the order of their times, and how many were no log lines.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Lines {
+    /// Lines by time.
+    pub all: Vec<Line>,
+    /// Lines that could not be read.
+    pub skipped: usize,
+}
+
+/// Reads lines; whatever stands before the first brace, such as a collector's prefix, is passed over.
+///
+/// ```
+/// use persimmoncroft::cli::line::parse;
+/// let text = r#"d1 {"level":"info","timestamp":5,"payload":"feed: lost","kv":{"table":"Operator"},"logger":"d1"}
+/// no line of a daemon"#;
+/// let lines = parse(text);
+/// assert_eq!((lines.all.len(), lines.skipped), (1, 1));
+/// assert_eq!(lines.all[0].text("table").unwrap(), "Operator");
+/// ```
+pub fn parse(text: &str) -> Lines {
+    let mut lines = Lines::default();
+    for raw in text.lines() {
+        let record = raw
+            .find('{')
+            .map(|start| serde_json::from_str(&raw[start..]));
+        match record {
+            Some(Ok(line)) => lines.all.push(line),
+            _ if raw.trim().is_empty() => {}
+            _ => lines.skipped += 1,
+        }
+    }
+    lines.all.sort_by_key(|line: &Line| line.timestamp);
+    lines
+}
+
+/// Reads the lines of files, and of all files in directories.
+///
+/// # Errors
+/// [`Error::Usage`] when a file cannot be read or no line of a daemon is found.
+pub fn read(paths: &[PathBuf]) -> Result<Lines, Error> {
+    let mut all = Lines::default();
+    for path in paths {
+        for file in files(path)? {
+            let bytes = std::fs::read(&file).map_err(|error| unreadable(&file, &error))?;
+            let lines = parse(&String::from_utf8_lossy(&bytes));
+            all.all.extend(lines.all);
+            all.skipped += lines.skipped;
+        }
+    }
+    if all.all.is_empty() {
+        return Err(Error::Usage(
+            "the files hold no log line of a daemon".into(),
+        ));
+    }
+    all.all.sort_by_key(|line| line.timestamp);
+    Ok(all)
+}
+
+fn files(path: &Path) -> Result<Vec<PathBuf>, Error> {
+    if !path.is_dir() {
+        return Ok(vec![path.to_owned()]);
+    }
+    let entries = std::fs::read_dir(path).map_err(|error| unreadable(path, &error))?;
+    let mut files = Vec::new();
+    for entry in entries {
+        let entry = entry.map_err(|error| unreadable(path, &error))?;
+        if entry.path().is_file() {
+            files.push(entry.path());
+        }
+    }
+    files.sort();
+    Ok(files)
+}
+
+fn unreadable(path: &Path, error: &std::io::Error) -> Error {
+    Error::Usage(format!("{}: {error}", path.display()))
+}
--- a/src/cli/log.rs
+++ b/src/cli/log.rs
@@ -2,7 +2,7 @@
 
 use std::num::NonZeroUsize;
 
-use spdlog::formatter::{PatternFormatter, pattern};
+use spdlog::formatter::{JsonFormatter, PatternFormatter, pattern};
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
 use spdlog::{Level, LevelFilter, Logger, ThreadPool};
 
@@ -29,15 +29,16 @@
     Ok(())
 }
 
-/// Writes log lines to the standard output from a thread of its own; lines are dropped while it is behind.
+/// Writes log lines as JSON to the standard output from a thread of its own; lines are dropped while it is behind.
+///
+/// Each line names the daemon as its `logger`.
 ///
 /// # Errors
-/// When the log cannot be set up.
-pub fn open_stdout(level: Level) -> spdlog::Result<()> {
-    let line = pattern!("{date}T{time}.{millisecond} {level} {payload}{eol}");
+/// When the log cannot be set up, or the daemon's name cannot be one of a logger.
+pub fn open_stdout(level: Level, daemon: &str) -> spdlog::Result<()> {
     let out = StdStreamSink::builder()
         .std_stream(StdStream::Stdout)
-        .formatter(PatternFormatter::new(line))
+        .formatter(JsonFormatter::new())
         .build_arc()?;
     let queue = ThreadPool::builder().capacity(QUEUE).build_arc()?;
     let sink = AsyncPoolSink::builder()
@@ -47,6 +48,7 @@
         .build_arc()?;
     let sink: std::sync::Arc<dyn Sink> = sink;
     let logger = Logger::builder()
+        .name(daemon)
         .sink(sink)
         .level_filter(LevelFilter::MoreSevereEqual(level))
         .flush_level_filter(LevelFilter::All)
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,8 +3,11 @@
 pub mod client;
 pub mod command;
 pub mod error;
+pub mod line;
 pub mod log;
 pub mod options;
 pub mod records;
 pub mod settings;
 pub mod show;
+pub mod summary;
+pub mod timeline;
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -130,13 +130,26 @@
     /// Prints which revision is in force where, and who has not confirmed
     #[bpaf(command)]
     Status,
-    /// Prints why a request went where it went
+    /// Prints why a request went where it went, by a daemon's memory or by the logs of all daemons
     #[bpaf(command)]
     Explain {
+        /// Log file or directory of log files, JSON lines; no daemon is asked
+        #[bpaf(argument("PATH"), many)]
+        logs: Vec<PathBuf>,
         /// Request id, from the answer's x-request-id header
         #[bpaf(positional("REQUEST"))]
         request: String,
     },
+    /// Sums up the logs of all daemons; no daemon is asked
+    #[bpaf(command)]
+    Report {
+        /// Draw refusals and late streams by second into this file, SVG
+        #[bpaf(argument("FILE"))]
+        plot: Option<PathBuf>,
+        /// Log files or directories of log files, JSON lines
+        #[bpaf(positional("PATH"), some("expected a log file"))]
+        logs: Vec<PathBuf>,
+    },
     /// Begins a graceful shutdown of the daemon that is asked
     #[bpaf(command)]
     Drain,
--- /dev/null
+++ b/src/cli/summary.rs
@@ -0,0 +1,211 @@
+//! A day of all daemons' logs in figures.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
+
+use plotters::prelude::*;
+use serde::Serialize;
+
+use super::line::{Line, Lines};
+use super::show;
+
+/// Events that are counted by second for the plot, with their colours.
+const PLOTTED: [(&str, RGBColor); 4] = [
+    ("relay: refused", RED),
+    ("stream: late", BLUE),
+    ("stream: broken", MAGENTA),
+    ("relay: unreachable", BLACK),
+];
+
+/// Size of a plot, in pixels.
+const PLOT_SIZE: (u32, u32) = (1000, 400);
+
+/// Shares of the latency table, in hundredths.
+const PERCENTILES: [usize; 3] = [50, 95, 99];
+
+/// Times to the first byte of sampled answers on one route, in milliseconds.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Latency {
+    /// Sampled answers.
+    pub samples: usize,
+    /// Median, 95th and 99th percentile.
+    pub percentiles_ms: Vec<u64>,
+}
+
+/// A day in figures.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Summary {
+    /// Unix times of the first and the last line, in milliseconds.
+    pub span_ms: (u64, u64),
+    /// Daemons that wrote lines.
+    pub daemons: usize,
+    /// Lines by event.
+    pub events: BTreeMap<String, usize>,
+    /// Refusals by status and reason.
+    pub refusals: BTreeMap<String, usize>,
+    /// Broken streams by reason and by why they did not go on.
+    pub broken_streams: BTreeMap<String, usize>,
+    /// Endpoints that failed, turned requests away or were not reached, by how many lines say so.
+    pub endpoints: BTreeMap<String, usize>,
+    /// Versions of the configuration, and by how many daemons each was taken over.
+    pub configurations: BTreeMap<u64, usize>,
+    /// Holders of the lease to place models, in order.
+    pub leases: Vec<(u64, String)>,
+    /// Latency by route.
+    pub latencies: BTreeMap<String, Latency>,
+    /// Lines that the daemons left out to bound their number.
+    pub dropped: u64,
+    /// Lines that could not be read.
+    pub skipped: usize,
+}
+
+/// Sums up lines.
+pub fn of(lines: &Lines) -> Summary {
+    let first = lines.all.first().map_or(0, |line| line.timestamp);
+    let last = lines.all.last().map_or(0, |line| line.timestamp);
+    let daemons: BTreeSet<&str> = lines.all.iter().map(|line| &*line.daemon).collect();
+    let mut summary = Summary {
+        span_ms: (first, last),
+        daemons: daemons.len(),
+        skipped: lines.skipped,
+        ..Summary::default()
+    };
+    let mut times: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for line in &lines.all {
+        add(&mut summary, &mut times, line);
+    }
+    for (route, mut times) in times {
+        times.sort_unstable();
+        let at = |percent| times[(times.len() - 1) * percent / 100];
+        let latency = Latency {
+            samples: times.len(),
+            percentiles_ms: PERCENTILES.map(at).to_vec(),
+        };
+        summary.latencies.insert(route, latency);
+    }
+    summary
+}
+
+fn add(summary: &mut Summary, times: &mut BTreeMap<String, Vec<u64>>, line: &Line) {
+    let text = |field| line.text(field).unwrap_or_else(|| "-".into());
+    *summary.events.entry(line.event.clone()).or_default() += 1;
+    match &*line.event {
+        "relay: refused" => {
+            let key = format!("{} {}", text("status"), text("reason"));
+            *summary.refusals.entry(key).or_default() += 1;
+        }
+        "stream: broken" => {
+            let key = match &*text("resumed") {
+                "true" => format!("{}, went on", text("reason")),
+                _ => format!("{}, {}", text("reason"), text("because")),
+            };
+            *summary.broken_streams.entry(key).or_default() += 1;
+        }
+        "relay: unreachable" | "relay: broken" | "relay: silent" | "relay: turned_away" => {
+            *summary.endpoints.entry(text("endpoint")).or_default() += 1;
+        }
+        "config: in force" => {
+            let version = line.number("version").unwrap_or_default();
+            *summary.configurations.entry(version).or_default() += 1;
+        }
+        "placer: lease taken" => {
+            summary.leases.push((line.timestamp, line.daemon.clone()));
+        }
+        "relay: answered" => {
+            let first = line.number("first_ms").unwrap_or_default();
+            times.entry(text("route")).or_default().push(first);
+        }
+        "journal: lines dropped" => summary.dropped += line.number("lines").unwrap_or_default(),
+        _ => {}
+    }
+}
+
+/// Draws a summary as tables.
+pub fn tables(summary: &Summary) -> String {
+    let counts = |title: &str, counts: &BTreeMap<String, usize>| {
+        let mut rows: Vec<(&String, &usize)> = counts.iter().collect();
+        rows.sort_by(|a, b| b.1.cmp(a.1).then(a.0.cmp(b.0)));
+        let rows = rows
+            .into_iter()
+            .map(|(key, count)| vec![key.clone(), count.to_string()]);
+        show::table(&[title, "lines"], rows)
+    };
+    let (first, last) = summary.span_ms;
+    let latencies = summary.latencies.iter().map(|(route, latency)| {
+        let percentiles = latency.percentiles_ms.iter().map(u64::to_string);
+        let row = [route.clone(), latency.samples.to_string()];
+        row.into_iter().chain(percentiles).collect()
+    });
+    let configurations = summary.configurations.iter();
+    let configurations =
+        configurations.map(|(version, count)| vec![version.to_string(), count.to_string()]);
+    let leases = summary.leases.iter().map(|(at, daemon)| {
+        let seconds = at.saturating_sub(first) as f64 / 1000.0;
+        vec![format!("{seconds:.1} s"), daemon.clone()]
+    });
+    [
+        format!(
+            "{} daemons, {:.1} s, {} lines left out by daemons, {} not readable",
+            summary.daemons,
+            (last - first) as f64 / 1000.0,
+            summary.dropped,
+            summary.skipped
+        ),
+        counts("event", &summary.events),
+        counts("refusal", &summary.refusals),
+        counts("broken stream", &summary.broken_streams),
+        counts("failing endpoint", &summary.endpoints),
+        show::table(&["configuration", "daemons"], configurations),
+        show::table(&["lease taken at", "by"], leases),
+        show::table(
+            &["route", "samples", "p50 ms", "p95 ms", "p99 ms"],
+            latencies,
+        ),
+    ]
+    .join("\n\n")
+}
+
+/// Draws refusals, late and broken streams and unreachable endpoints by second, as SVG.
+///
+/// # Errors
+/// What keeps the file from being drawn, in words.
+pub fn plot(lines: &[Line], path: &Path) -> Result<(), String> {
+    draw(lines, path).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+fn draw(lines: &[Line], path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let first = lines.first().map_or(0, |line| line.timestamp);
+    let last = lines.last().map_or(0, |line| line.timestamp);
+    let seconds = ((last - first) / 1000) as usize + 1;
+    let counts = PLOTTED.map(|(event, colour)| {
+        let mut counts = vec![0_u32; seconds];
+        for line in lines.iter().filter(|line| line.event == event) {
+            counts[((line.timestamp - first) / 1000) as usize] += 1;
+        }
+        (event, colour, counts)
+    });
+    let highest = counts.iter().flat_map(|(_, _, counts)| counts).max();
+    let highest = highest.copied().unwrap_or_default().max(1);
+    let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0..seconds, 0..highest)?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .y_desc("lines a second")
+        .draw()?;
+    for (event, colour, counts) in counts {
+        let points = counts.into_iter().enumerate();
+        let series = chart.draw_series(LineSeries::new(points, &colour))?;
+        series
+            .label(event)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 15, y)], colour));
+    }
+    chart.configure_series_labels().draw()?;
+    area.present()?;
+    Ok(())
+}
--- a/src/serving/accept.rs
+++ b/src/serving/accept.rs
@@ -57,8 +57,9 @@
                     .spawn(connection(node.clone(), stream, peer, role));
             }
             Err(error) => {
-                node.journal
-                    .line(|| format!("accept: failed role={role:?} error=\"{error}\""));
+                node.journal.line(
+                    || spdlog::info!("accept: failed", kv: { role:? = role, error: = error }),
+                );
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -67,8 +68,9 @@
 
 async fn connection(node: Arc<Node>, stream: TcpStream, peer: SocketAddr, role: Role) {
     if let Err(error) = exchange::guard(&stream) {
-        node.journal
-            .line(|| format!("accept: connection of {peer} is gone error=\"{error}\""));
+        node.journal.line(
+            || spdlog::info!("accept: connection is gone", kv: { peer: = peer, error: = error }),
+        );
         return;
     }
     let handler_node = node.clone();
@@ -163,7 +165,7 @@
         Ok(call) => call,
         Err(malformed) => {
             node.journal
-                .line(|| format!("accept: malformed request error=\"{malformed}\""));
+                .line(|| spdlog::info!("accept: malformed request", kv: { error: = malformed }));
             let refusal = Refusal::invalid(StatusCode::BAD_REQUEST, "malformed");
             node.meter.ended(refusal.reason, refusal.status.as_u16());
             return relay::own(&refusal);
--- a/src/serving/admit.rs
+++ b/src/serving/admit.rs
@@ -89,7 +89,7 @@
     let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
     let units = workspace.as_ref().map_or(0.0, |w| units(w, call));
     if let Some(workspace) = &workspace {
-        node.limits.take(node, workspace, units)?;
+        node.limits.take(node, workspace, call, units)?;
     }
     Ok(Ticket {
         rank: rank(workspace.as_deref(), &route),
@@ -140,7 +140,13 @@
 }
 
 impl Limits {
-    fn take(&self, node: &Node, workspace: &Workspace, units: f64) -> Result<(), Refusal> {
+    fn take(
+        &self,
+        node: &Node,
+        workspace: &Workspace,
+        call: &Call,
+        units: f64,
+    ) -> Result<(), Refusal> {
         let now = node.now();
         let taken = self.with(node, workspace, now, |part| {
             let taken = part.take(units, now);
@@ -154,11 +160,13 @@
             Some(Err(wait)) => {
                 node.journal.line(|| {
                     let part = self.parts.lock().get(&workspace.name).cloned();
-                    format!(
-                        "limits: over rate workspace={} units={units} part={part:?} daemons={}",
-                        workspace.name,
-                        node.peers.count()
-                    )
+                    spdlog::info!("limits: over rate", kv: {
+                        request: = call.id,
+                        workspace: = workspace.name,
+                        units = units,
+                        part:? = part,
+                        daemons = node.peers.count(),
+                    });
                 });
                 Err(Refusal {
                     status: StatusCode::TOO_MANY_REQUESTS,
--- a/src/serving/belief.rs
+++ b/src/serving/belief.rs
@@ -59,11 +59,8 @@
         if current.is_some_and(|current| current >= catalog.version) {
             return false;
         }
-        spdlog::info!(
-            "config: in force version={} before={}",
-            catalog.version,
-            current.unwrap_or_default()
-        );
+        let before = current.unwrap_or_default();
+        spdlog::info!("config: in force", kv: { version = catalog.version, before });
         inner.catalog_source = source;
         self.catalog.store(Some(Arc::new(catalog)));
         self.publish(&mut inner, now);
@@ -118,7 +115,7 @@
         if !changed {
             return;
         }
-        spdlog::info!("config: zone={zone} out={out}");
+        spdlog::info!("config: zone", kv: { zone: = zone, out });
         if !out {
             self.cool(&inner, &zone, now);
         }
@@ -165,13 +162,13 @@
             seen.lacking.clear();
         }
         if before.as_ref().is_none_or(|b| b.draining != entry.draining) {
-            spdlog::info!(
-                "endpoints: endpoint={id} service={} zone={} draining={} cold_ms={}",
-                entry.service,
-                entry.zone,
-                entry.draining,
-                entry.cold.as_millis()
-            );
+            spdlog::info!("endpoints: known", kv: {
+                endpoint: = id,
+                service: = entry.service,
+                zone: = entry.zone,
+                draining = entry.draining,
+                cold_ms = entry.cold.as_millis() as u64,
+            });
         }
         if entry.draining {
             inner.gone.insert(id, now);
@@ -196,7 +193,7 @@
     }
 
     fn remove(&self, inner: &mut Inner, id: &Name, now: Duration) {
-        spdlog::info!("endpoints: endpoint={id} gone");
+        spdlog::info!("endpoints: gone", kv: { endpoint: = id });
         inner.roster.remove(id);
         inner.tracks.remove(id);
         inner.gone.insert(id.clone(), now);
--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -114,7 +114,7 @@
             Ok((read, changed)) => {
                 if freshness.note(true, now) {
                     settle = now + SETTLE;
-                    spdlog::info!("feed: table={table:?} regained version={read}");
+                    spdlog::info!("feed: regained", kv: { table:? = table, version = read });
                 }
                 version = Some(read);
                 if changed {
@@ -123,7 +123,7 @@
             }
             Err(error) => {
                 if !freshness.stale(Duration::ZERO, now) {
-                    spdlog::warn!("feed: table={table:?} lost error=\"{error}\"");
+                    spdlog::warn!("feed: lost", kv: { table:? = table, error: = error });
                 }
                 freshness.note(false, now);
                 settle = now + SETTLE;
--- a/src/serving/journal.rs
+++ b/src/serving/journal.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Lines per second.
 const LINES_PER_SECOND: f64 = 40.0;
@@ -10,6 +11,14 @@
 /// Lines that may come at once.
 const BURST: f64 = 120.0;
 
+/// Requests of which one that went well is logged.
+const SAMPLE: u64 = 64;
+
+/// Whether a request is logged although it went well; all daemons choose the same ones.
+pub fn is_sampled(request: &str) -> bool {
+    xxh3_64(request.as_bytes()).is_multiple_of(SAMPLE)
+}
+
 /// Writes log lines up to a rate and counts those that were left out.
 #[derive(Debug)]
 pub struct Journal {
@@ -37,10 +46,10 @@
 }
 
 impl Journal {
-    /// Writes a line if the rate allows it.
-    pub fn line(&self, text: impl FnOnce() -> String) {
+    /// Lets a line be written if the rate allows it.
+    pub fn line(&self, write: impl FnOnce()) {
         if self.allows(Instant::now()) {
-            spdlog::info!("{}", text());
+            write();
         }
     }
 
@@ -61,10 +70,8 @@
     pub fn sum_up(&self, over: Duration) {
         let dropped = std::mem::take(&mut self.bucket.lock().dropped);
         if dropped > 0 {
-            spdlog::info!(
-                "journal: dropped lines={dropped} over_ms={}",
-                over.as_millis()
-            );
+            let over_ms = over.as_millis() as u64;
+            spdlog::info!("journal: lines dropped", kv: { lines = dropped, over_ms });
         }
     }
 }
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -141,7 +141,7 @@
             Ok(time) => time.into(),
             Err(error) => {
                 self.journal
-                    .line(|| format!("daemon: no boot clock error=\"{error}\""));
+                    .line(|| spdlog::info!("daemon: no boot clock", kv: { error: = error }));
                 self.now()
             }
         }
@@ -277,13 +277,13 @@
         ] {
             duties.spawn(accept::serve(node.clone(), listener, role, until));
         }
-        spdlog::info!(
-            "daemon: started name={} zone={} session={} callers={caller_address} peers={}",
-            node.settings.name,
-            node.settings.zone,
-            node.session,
-            node.peer_address
-        );
+        spdlog::info!("daemon: started", kv: {
+            name: = node.settings.name,
+            zone: = node.settings.zone,
+            session = node.session,
+            callers: = caller_address,
+            peers: = node.peer_address,
+        });
         Ok(Self {
             node,
             caller_address,
@@ -304,7 +304,7 @@
         let node = &self.node;
         let started = Instant::now();
         node.leaving.cancel();
-        spdlog::info!("daemon: leaving name={}", node.settings.name);
+        spdlog::info!("daemon: leaving", kv: { name: = node.settings.name });
         tokio::time::sleep(ACCEPT_AFTER_TERM.min(node.settings.grace / 2)).await;
         self.accepting.cancel();
         node.closing.cancel();
@@ -313,15 +313,11 @@
         let left = left.saturating_sub(started.elapsed());
         let finished = tokio::time::timeout(left, node.connections.wait()).await;
         node.stopped.cancel();
-        spdlog::info!(
-            "daemon: stopped name={} requests_cut={}",
-            node.settings.name,
-            if finished.is_ok() {
-                0
-            } else {
-                node.requests.len()
-            }
-        );
+        let requests_cut = match finished {
+            Ok(()) => 0,
+            Err(_) => node.requests.len(),
+        };
+        spdlog::info!("daemon: stopped", kv: { name: = node.settings.name, requests_cut });
         self.duties.close();
         drop(self.peer_server);
     }
--- a/src/serving/peers/discover.rs
+++ b/src/serving/peers/discover.rs
@@ -34,8 +34,9 @@
                     remove_lost(&node, &line).await;
                 }
                 Err(error) => {
-                    node.journal
-                        .line(|| format!("peers: cannot list daemons error=\"{error}\""));
+                    node.journal.line(
+                        || spdlog::info!("peers: cannot list daemons", kv: { error: = error }),
+                    );
                 }
             }
             let interval = spread(LIST_INTERVAL * node.peers.crowd());
@@ -62,7 +63,7 @@
     };
     while let Err(error) = node.commit(line, &change).await {
         node.journal
-            .line(|| format!("peers: cannot register error=\"{error}\""));
+            .line(|| spdlog::info!("peers: cannot register", kv: { error: = error }));
         sleep(spread(LIST_LEAST)).await;
     }
 }
@@ -117,10 +118,10 @@
         ..Change::default()
     };
     match node.commit(line, &change).await {
-        Ok(_) => spdlog::info!("peers: rows removed daemons={}", lost.join(",")),
+        Ok(_) => spdlog::info!("peers: rows removed", kv: { daemons: = lost.join(",") }),
         Err(error) => {
             node.journal
-                .line(|| format!("peers: rows not removed error=\"{error}\""));
+                .line(|| spdlog::info!("peers: rows not removed", kv: { error: = error }));
         }
     }
 }
--- a/src/serving/peers/hear.rs
+++ b/src/serving/peers/hear.rs
@@ -22,8 +22,9 @@
             match node.gossip.receive::<Digest>(&mut buffer).await {
                 Ok((digest, _)) => hear(&node, digest),
                 Err(error) => {
-                    node.journal
-                        .line(|| format!("peers: unreadable message error=\"{error}\""));
+                    node.journal.line(
+                        || spdlog::info!("peers: unreadable message", kv: { error: = error }),
+                    );
                 }
             }
         }
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -142,7 +142,7 @@
         names.push(own.clone());
         names.sort();
         if names != **self.names.load() {
-            spdlog::info!("peers: limits divided over daemons={}", names.len());
+            spdlog::info!("peers: limits divided", kv: { daemons = names.len() });
             self.names.store(Arc::new(names));
         }
     }
@@ -160,7 +160,7 @@
     node.meter.digests.inc();
     if let Err(error) = node.gossip.send(&digest, to) {
         node.journal
-            .line(|| format!("peers: message to {to} dropped error=\"{error}\""));
+            .line(|| spdlog::info!("peers: message dropped", kv: { to: = to, error: = error }));
     }
 }
 
--- a/src/serving/peers/source.rs
+++ b/src/serving/peers/source.rs
@@ -38,8 +38,9 @@
     let source = match answer.await {
         Ok(source) => source,
         Err(error) => {
-            node.journal
-                .line(|| format!("peers: no configuration from {from} error=\"{error}\""));
+            node.journal.line(
+                || spdlog::info!("peers: no configuration", kv: { from: = from, error: = error }),
+            );
             return;
         }
     };
@@ -74,7 +75,7 @@
         Ok::<Source, ErrorObjectOwned>(Source { version, text })
     });
     if let Err(error) = registered {
-        spdlog::error!("peers: method {CATALOG_METHOD} cannot be registered: {error}");
+        spdlog::error!("peers: method cannot be registered", kv: { error: = error });
     }
     module
 }
--- a/src/serving/placer/change.rs
+++ b/src/serving/placer/change.rs
@@ -157,13 +157,15 @@
     };
     let is_there = |report: &Report| report.models.contains_key(model);
     let done = carry_out(&node, &target, Operation::Load, model, expected, is_there).await;
-    spdlog::info!(
-        "placer: load engine={id} model={model} beside={} unloaded={} from_store={} done={done} took_ms={}",
-        beside.join(","),
-        step.unload.len(),
-        step.from_store,
-        node.now().saturating_sub(began).as_millis()
-    );
+    spdlog::info!("placer: load", kv: {
+        engine: = id,
+        model: = model,
+        beside = beside.join(",").as_str(),
+        unloaded = step.unload.len(),
+        from_store = step.from_store,
+        done = done,
+        took_ms = node.now().saturating_sub(began).as_millis() as u64,
+    });
     end(&node, &target, !done);
 }
 
--- a/src/serving/placer/lease.rs
+++ b/src/serving/placer/lease.rs
@@ -52,7 +52,7 @@
     }
     if let Err(error) = claim(node, line, holds).await {
         node.journal
-            .line(|| format!("placer: lease not written error=\"{error}\""));
+            .line(|| spdlog::info!("placer: lease not written", kv: { error: = error }));
     }
     spread(LOOK_INTERVAL)
 }
@@ -73,7 +73,7 @@
             Ok(None) => {}
             Err(error) => {
                 node.journal
-                    .line(|| format!("placer: lease not renewed error=\"{error}\""));
+                    .line(|| spdlog::info!("placer: lease not renewed", kv: { error: = error }));
             }
         }
     }
@@ -121,10 +121,8 @@
     *node.placer.from.lock() = asked + wait;
     node.placer.confirmed.store(false, Ordering::Relaxed);
     node.placer.ledger.lock().begin(node.now());
-    spdlog::info!(
-        "placer: lease taken fence={fence} orders_in_ms={}",
-        wait.as_millis()
-    );
+    let orders_in_ms = wait.as_millis() as u64;
+    spdlog::info!("placer: lease taken", kv: { fence, orders_in_ms });
 }
 
 fn session(node: &Node) -> Name {
@@ -177,7 +175,7 @@
         fence: *node.placer.fence.lock(),
     };
     match write_row(node, line, &lease, Some(version)).await {
-        Ok(_) => spdlog::info!("placer: lease released fence={}", lease.fence),
-        Err(error) => spdlog::warn!("placer: lease not released error=\"{error}\""),
+        Ok(_) => spdlog::info!("placer: lease released", kv: { fence = lease.fence }),
+        Err(error) => spdlog::warn!("placer: lease not released", kv: { error: = error }),
     }
 }
--- a/src/serving/placer/order.rs
+++ b/src/serving/placer/order.rs
@@ -99,14 +99,19 @@
         let request = (node.adapter.order)(&order, entry);
         let response = connection.fetch(request, ORDER_TIMEOUT).await;
         let outcome = match &response {
-            Ok(response) => format!("status={}", response.status().as_u16()),
-            Err(error) => format!("error=\"{error}\""),
+            Ok(response) => response.status().as_u16().to_string(),
+            Err(error) => error.to_string(),
         };
-        spdlog::info!(
-            "placer: order engine={id} operation={operation:?} model={model} adapter={} expected={expected} fence={} copy={copy} {outcome}",
-            adapter.map_or("-", |adapter| adapter),
-            order.fence
-        );
+        spdlog::info!("placer: order", kv: {
+            engine: = id,
+            operation:? = operation,
+            model: = model,
+            adapter: = adapter.map_or("-", |adapter| adapter),
+            expected = expected,
+            fence = order.fence,
+            copy = copy,
+            outcome: = outcome,
+        });
         let Ok(response) = response else {
             sleep(RESEND).await;
             continue;
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -43,6 +43,7 @@
         tried: Vec::new(),
         runs: 0,
         arrivals: 0,
+        answered_by: None,
         token: node.requests.token(),
     };
     node.demand.offer(&run.call);
@@ -183,6 +184,7 @@
     node.meter.ended("answered", status.as_u16());
     let elapsed = node.now().saturating_sub(run.ticket.arrived);
     node.meter.first_byte.observe(elapsed.as_secs_f64());
+    run.log_answered(status, elapsed);
     response
 }
 
@@ -207,13 +209,12 @@
 pub fn refuse(node: &Node, call: &Call, refusal: &Refusal) -> Response<Body> {
     node.meter.ended(refusal.reason, refusal.status.as_u16());
     node.journal.line(|| {
-        format!(
-            "relay: refused request={} status={} reason={} retry_after_ms={}",
-            call.id,
-            refusal.status.as_u16(),
-            refusal.reason,
-            refusal.retry_after.map_or(0, |wait| wait.as_millis())
-        )
+        spdlog::info!("relay: refused", kv: {
+            request: = call.id,
+            status = refusal.status.as_u16(),
+            reason = refusal.reason,
+            retry_after_ms = refusal.retry_after.map_or(0, |wait| wait.as_millis() as u64),
+        });
     });
     own(refusal)
 }
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -13,6 +13,7 @@
 use super::admit::Ticket;
 use super::choose::Choice;
 use super::endpoint::{Endpoint, Flight};
+use super::journal;
 use crate::state::call::{Call, Dispatch, Head};
 use crate::state::record::Name;
 use crate::transport::exchange::{Connection, Error};
@@ -90,6 +91,8 @@
     pub runs: u32,
     /// Sends that reached an endpoint, run or not.
     pub arrivals: u32,
+    /// Endpoint whose answer came last.
+    pub answered_by: Option<Name>,
     /// Counts the request as in flight until its answer is complete.
     pub token: TaskTrackerToken,
 }
@@ -231,6 +234,7 @@
             return Sent::Broken;
         }
         self.runs += 1;
+        self.answered_by = Some(choice.endpoint.entry.id.clone());
         exchange.flight.begun();
         let mut seen = track.seen();
         match status.is_server_error() {
@@ -279,21 +283,38 @@
         self.log("turned_away", choice, &detail);
     }
 
+    /// Logs an answer, if the request is one of those that are.
+    pub fn log_answered(&self, status: StatusCode, first: Duration) {
+        if !journal::is_sampled(&self.call.id) {
+            return;
+        }
+        self.node.journal.line(|| {
+            spdlog::info!("relay: answered", kv: {
+                request: = self.call.id,
+                route: = self.ticket.route.name,
+                endpoint: = self.answered_by.as_deref().unwrap_or("-"),
+                status = status.as_u16(),
+                first_ms = first.as_millis() as u64,
+                runs = self.runs,
+            });
+        });
+    }
+
     /// Logs what happened to one send.
     pub fn log(&self, event: &str, choice: &Choice, detail: &str) {
         self.node.journal.line(|| {
             let entry = &choice.endpoint.entry;
-            format!(
-                "relay: {event} request={} route={} endpoint={} zone={} flights={} compared={} runs={} left_ms={} {detail}",
-                self.call.id,
-                self.ticket.route.name,
-                entry.id,
-                entry.zone,
-                choice.candidate.flights,
-                choice.compared,
-                self.runs,
-                self.left().as_millis(),
-            )
+            spdlog::info!("relay: {event}", kv: {
+                request: = self.call.id,
+                route: = self.ticket.route.name,
+                endpoint: = entry.id,
+                zone: = entry.zone,
+                flights = choice.candidate.flights,
+                compared = choice.compared,
+                runs = self.runs,
+                left_ms = self.left().as_millis() as u64,
+                detail = detail,
+            });
         });
     }
 }
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::stream::unfold;
-use http::Response;
+use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::time::timeout;
@@ -216,6 +216,7 @@
         } else {
             let elapsed = now.saturating_sub(self.run.ticket.arrived);
             self.begun = Some(elapsed);
+            self.run.log_answered(StatusCode::OK, elapsed);
             node.meter.first_byte.observe(elapsed.as_secs_f64());
         }
         self.last_whole = now;
@@ -240,17 +241,16 @@
         node.meter.late.inc();
         node.journal.line(|| {
             let generation = self.run.call.generation.as_ref();
-            format!(
-                "stream: late request={} route={} model={} endpoint={} first_ms={} pause_ms={} flights={} runs={}",
-                self.run.call.id,
-                route.name,
-                generation.map_or("-", |generation| &generation.model),
-                exchange.endpoint.entry.id,
-                begun.as_millis(),
-                self.longest_pause.as_millis(),
-                exchange.endpoint.track.all_flights(),
-                self.run.runs
-            )
+            spdlog::info!("stream: late", kv: {
+                request: = self.run.call.id,
+                route: = route.name,
+                model: = generation.map_or("-", |generation| &generation.model),
+                endpoint: = exchange.endpoint.entry.id,
+                first_ms = begun.as_millis() as u64,
+                pause_ms = self.longest_pause.as_millis() as u64,
+                flights = exchange.endpoint.track.all_flights(),
+                runs = self.run.runs,
+            });
         });
     }
 
@@ -270,13 +270,15 @@
         let outcome = self.go_on(last).await;
         let resumed = outcome.is_ok();
         node.journal.line(|| {
-            format!(
-                "stream: broken request={} reason={reason} endpoint={broken} last_event={} resumed={resumed} because={} runs={}",
-                self.run.call.id,
-                last.map_or(-1, |last| last as i64),
-                outcome.err().unwrap_or("-"),
-                self.run.runs
-            )
+            spdlog::info!("stream: broken", kv: {
+                request: = self.run.call.id,
+                reason = reason,
+                endpoint: = broken,
+                last_event = last.map_or(-1, |last| last as i64),
+                resumed = resumed,
+                because = outcome.err().unwrap_or("-"),
+                runs = self.run.runs,
+            });
         });
         resumed
     }
--- /dev/null
+++ b/tests/logs.rs
@@ -0,0 +1,142 @@
+//! The logs of several daemons are put together for one request, and summed up for a day.
+
+use std::io::Write;
+use std::process::Command;
+use std::sync::Arc;
+
+use persimmoncroft::cli::line::{Line, parse};
+use persimmoncroft::cli::summary;
+use persimmoncroft::cli::timeline::{self, Part};
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::{Sink, WriteSink};
+
+/// Lines of two daemons, as they write them: a stream whose endpoint is lost goes on, another request is refused.
+const LOGS: &str = r#"
+{"level":"info","timestamp":1000,"payload":"daemon: started","kv":{"name":"d1","zone":"a"},"logger":"d1","tid":1}
+{"level":"info","timestamp":1000,"payload":"daemon: started","kv":{"name":"d2","zone":"b"},"logger":"d2","tid":1}
+{"level":"info","timestamp":1010,"payload":"config: in force","kv":{"version":3,"before":0},"logger":"d1","tid":1}
+{"level":"info","timestamp":1011,"payload":"config: in force","kv":{"version":3,"before":0},"logger":"d2","tid":1}
+{"level":"info","timestamp":1012,"payload":"endpoints: known","kv":{"endpoint":"e1","zone":"a"},"logger":"d1","tid":1}
+{"level":"info","timestamp":1012,"payload":"endpoints: known","kv":{"endpoint":"e9","zone":"a"},"logger":"d1","tid":1}
+{"level":"info","timestamp":1013,"payload":"placer: lease taken","kv":{"fence":1},"logger":"d2","tid":1}
+{"level":"warn","timestamp":1500,"payload":"feed: lost","kv":{"table":"Operator"},"logger":"d1","tid":1}
+{"level":"info","timestamp":1700,"payload":"feed: regained","kv":{"table":"Operator"},"logger":"d1","tid":1}
+{"level":"info","timestamp":1800,"payload":"placer: load","kv":{"model":"m1","engine":"e2","done":true},"logger":"d2"}
+{"level":"info","timestamp":1900,"payload":"config: in force","kv":{"version":5,"before":3},"logger":"d1","tid":1}
+{"level":"info","timestamp":2000,"payload":"relay: silent","kv":{"request":"r1","endpoint":"e1","runs":1},"logger":"d1"}
+{"level":"info","timestamp":2050,"payload":"stream: broken","kv":{"request":"r1","reason":"stream_broken","endpoint":"e1","last_event":4,"resumed":true,"because":"-","runs":2},"logger":"d1"}
+{"level":"info","timestamp":2060,"payload":"stream: late","kv":{"request":"r1","route":"draft","model":"m1","first_ms":900},"logger":"d1"}
+{"level":"info","timestamp":2070,"payload":"relay: refused","kv":{"request":"r2","status":503,"reason":"no_model","retry_after_ms":4500},"logger":"d2"}
+{"level":"info","timestamp":2080,"payload":"relay: answered","kv":{"request":"r3","route":"draft","status":200,"first_ms":40,"runs":1},"logger":"d2"}
+{"level":"info","timestamp":2090,"payload":"relay: answered","kv":{"request":"r4","route":"draft","status":200,"first_ms":80,"runs":1},"logger":"d2"}
+{"level":"info","timestamp":4000,"payload":"journal: lines dropped","kv":{"lines":7,"over_ms":1000},"logger":"d2"}
+"#;
+
+#[test]
+fn timeline_holds_the_request_and_what_its_daemon_believed() {
+    let lines = parse(LOGS).all;
+    let entries = timeline::of(&lines, "r1");
+    let of = |part| -> Vec<(&str, u64)> {
+        let entries = entries.iter().filter(|entry| entry.part == part);
+        entries
+            .map(|entry| (&*entry.line.event, entry.line.timestamp))
+            .collect()
+    };
+    assert_eq!(
+        of(Part::Request),
+        [
+            ("relay: silent", 2000),
+            ("stream: broken", 2050),
+            ("stream: late", 2060)
+        ]
+    );
+    // The latest belief of each kind, of this daemon alone but for placement; no endpoint that it did not meet.
+    assert_eq!(
+        of(Part::Belief),
+        [
+            ("daemon: started", 1000),
+            ("endpoints: known", 1012),
+            ("placer: lease taken", 1013),
+            ("feed: regained", 1700),
+            ("placer: load", 1800),
+            ("config: in force", 1900),
+        ]
+    );
+    let table = timeline::table(&entries);
+    assert!(
+        table.contains("> +50 ms") && table.contains("-1000 ms"),
+        "{table}"
+    );
+    assert!(timeline::of(&lines, "r9").is_empty());
+}
+
+#[test]
+fn day_is_summed_up() {
+    let summary = summary::of(&parse(LOGS));
+    assert_eq!(
+        (summary.daemons, summary.dropped, summary.skipped),
+        (2, 7, 0)
+    );
+    assert_eq!(summary.refusals["503 no_model"], 1);
+    assert_eq!(summary.broken_streams["stream_broken, went on"], 1);
+    assert_eq!(summary.configurations, [(3, 2), (5, 1)].into());
+    assert_eq!(summary.leases, [(1013, "d2".to_owned())]);
+    let latency = &summary.latencies["draft"];
+    assert_eq!((latency.samples, latency.percentiles_ms[0]), (2, 40));
+    assert!(summary::tables(&summary).contains("2 daemons, 3.0 s, 7 lines left out"));
+}
+
+/// What the daemon's formatter writes is what the tool reads.
+#[test]
+fn lines_of_the_logger_are_read_back() {
+    let sink = WriteSink::builder()
+        .target(Vec::new())
+        .formatter(JsonFormatter::new())
+        .build_arc()
+        .unwrap();
+    let dynamic: Arc<dyn Sink> = sink.clone();
+    let logger = spdlog::Logger::builder()
+        .name("d1")
+        .sink(dynamic)
+        .build()
+        .unwrap();
+    let id: Arc<str> = "r\"1".into();
+    spdlog::info!(logger: logger, "relay: refused", kv: { request: = id, status = 503_u16, reason = "no_model" });
+    let written = String::from_utf8(sink.clone_target()).unwrap();
+    let lines = parse(&written);
+    assert_eq!((lines.all.len(), lines.skipped), (1, 0), "{written}");
+    let line: &Line = &lines.all[0];
+    assert_eq!((&*line.daemon, &*line.event), ("d1", "relay: refused"));
+    assert_eq!(line.text("request").unwrap(), "r\"1");
+    assert_eq!(line.number("status"), Some(503));
+}
+
+#[test]
+fn command_reads_files_and_says_when_it_finds_nothing() {
+    let directory = std::env::temp_dir().join(format!("persimmon-logs-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).unwrap();
+    let mut file = std::fs::File::create(directory.join("all.log")).unwrap();
+    file.write_all(LOGS.as_bytes()).unwrap();
+    let run = |arguments: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_persimmonctl"));
+        command.args(arguments).output().unwrap()
+    };
+    let path = directory.to_str().unwrap();
+    let explained = run(&["--output", "json", "explain", "r1", "--logs", path]);
+    assert!(explained.status.success());
+    let entries: serde_json::Value = serde_json::from_slice(&explained.stdout).unwrap();
+    assert_eq!(entries[8]["event"], "stream: late");
+    assert_eq!(entries[8]["part"], "request");
+
+    assert_eq!(
+        run(&["explain", "r9", "--logs", path]).status.code(),
+        Some(9)
+    );
+    let plot = directory.join("day.svg");
+    let report = run(&["report", "--plot", plot.to_str().unwrap(), path]);
+    assert!(report.status.success(), "{report:?}");
+    assert!(std::fs::read_to_string(&plot).unwrap().contains("<svg"));
+    let missing = run(&["report", "/nowhere/at/all"]);
+    assert_eq!(missing.status.code(), Some(2));
+    std::fs::remove_dir_all(&directory).unwrap();
+}
