Leave a silent stream only for an endpoint that can go on, and look for one as long as the caller waits

Before: the connection was dropped first. Now a move needs an endpoint with room and a retry in hand; a broken stream waits for an adapter or a pause as long as callers do (2 s, 4 objectives, 8 gaps).

--- a/src/serving/choose.rs
+++ b/src/serving/choose.rs
@@ -20,6 +20,9 @@
 /// Requests in flight at a plain endpoint, as a multiple of its slots, from which no more are sent there.
 const PLAIN_FULL: f64 = 4.0;
 
+/// Requests in flight at an endpoint, as a multiple of its slots, up to which it can begin another at once.
+const ROOM: f64 = 0.8;
+
 /// Why no endpoint can be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Lack {
@@ -49,6 +52,11 @@
             Self::Full => "endpoints_full",
         }
     }
+
+    /// Whether it takes a load of weights or a new endpoint to end the lack.
+    pub fn is_lasting(self) -> bool {
+        matches!(self, Self::Endpoint | Self::Model)
+    }
 }
 
 /// An endpoint that was chosen, and why.
@@ -107,6 +115,22 @@
     })
 }
 
+/// Whether an endpoint that was not tried could begin a call at once.
+pub fn has_room(node: &Node, ticket: &Ticket, call: &Call, tried: &[Name]) -> bool {
+    let view = node.belief.view.load();
+    let now = node.now();
+    let Some(endpoints) = view.services.get(&ticket.service.name) else {
+        return false;
+    };
+    let mut others = endpoints
+        .iter()
+        .filter(|endpoint| !tried.contains(&endpoint.entry.id));
+    others.any(|endpoint| {
+        let candidate = consider(node, ticket, call, endpoint, None, now);
+        candidate.is_ok_and(|it| it.flights < it.slots * ROOM)
+    })
+}
+
 fn consider(
     node: &Node,
     ticket: &Ticket,
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -7,9 +7,9 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-use super::choose;
+use super::choose::{self, Lack};
 use super::relay::{Body, passed_on};
 use super::send::{Exchange, Run, Sent};
 
@@ -25,6 +25,18 @@
 /// Sends to other endpoints that one break may cost.
 const MAX_RESUMES: usize = 3;
 
+/// Pause between two looks for an endpoint that can go on.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
+
+/// Least gap in a stream after which callers leave it.
+const CALLER_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Gap after which callers leave a stream, as a multiple of the time until its first event is due.
+const CALLER_OBJECTIVES: u32 = 4;
+
+/// Gap after which callers leave a stream, as a multiple of the pause that is on time.
+const CALLER_GAPS: u32 = 8;
+
 /// Event boundaries in received bytes.
 #[derive(Debug, Default)]
 pub struct Events {
@@ -142,6 +154,7 @@
     Whole(Bytes),
     Nothing,
     End,
+    Silent,
     Broken(&'static str),
 }
 
@@ -164,8 +177,16 @@
                     }
                     return Ok(None);
                 }
+                // A silent endpoint may be at work on others; it is left only for one that can go on.
+                More::Silent if !self.may_move() => {}
+                More::Silent => {
+                    if !self.resume("stream_silent", true).await {
+                        self.run.node.meter.ended("stream_silent", 0);
+                        return Err(std::io::Error::other("stream_silent"));
+                    }
+                }
                 More::Broken(reason) => {
-                    if !self.resume(reason).await {
+                    if !self.resume(reason, false).await {
                         self.run.node.meter.ended(reason, 0);
                         return Err(std::io::Error::other(reason));
                     }
@@ -187,7 +208,8 @@
             return More::Broken("stream_lost");
         };
         let frame = match timeout(patience, exchange.body.frame()).await {
-            Err(_) => return More::Broken("stream_silent"),
+            Err(_) if self.run.left().is_zero() => return More::Broken("stream_out_of_time"),
+            Err(_) => return More::Silent,
             Ok(None) if self.events.is_partial() => return More::Broken("stream_cut"),
             Ok(None) => return More::End,
             Ok(Some(Err(_))) => return More::Broken("stream_broken"),
@@ -254,8 +276,21 @@
         });
     }
 
-    /// Goes on at another endpoint after the last whole event.
-    async fn resume(&mut self, reason: &'static str) -> bool {
+    /// Whether another endpoint has room to go on; takes the retry that the move needs.
+    fn may_move(&self) -> bool {
+        let Some(exchange) = &self.exchange else {
+            return false;
+        };
+        let run = &self.run;
+        let mut tried = run.tried.clone();
+        tried.push(exchange.endpoint.entry.id.clone());
+        run.may_repeat()
+            && choose::has_room(&run.node, &run.ticket, &run.call, &tried)
+            && run.take_retry()
+    }
+
+    /// Goes on at another endpoint after the last whole event; `paid` says that a retry was taken for the first send.
+    async fn resume(&mut self, reason: &'static str, paid: bool) -> bool {
         let Some(exchange) = self.exchange.take() else {
             return false;
         };
@@ -267,7 +302,7 @@
         self.events.cut();
         let last = self.events.last();
         self.run.tried.push(broken.clone());
-        let outcome = self.go_on(last).await;
+        let outcome = self.go_on(last, paid).await;
         let resumed = outcome.is_ok();
         node.journal.line(|| {
             spdlog::info!("stream: broken", kv: {
@@ -283,19 +318,34 @@
         resumed
     }
 
-    /// Finds another endpoint that goes on after an event.
-    async fn go_on(&mut self, last: Option<u64>) -> Result<(), &'static str> {
+    /// Finds another endpoint that goes on after an event, while the caller can be expected to wait.
+    async fn go_on(&mut self, last: Option<u64>, mut paid: bool) -> Result<(), &'static str> {
         let node = self.run.node.clone();
-        for _ in 0..MAX_RESUMES {
+        let give_up = node.now() + self.caller_waits();
+        let mut sends = 0;
+        while sends < MAX_RESUMES {
             if !self.run.may_repeat() {
                 return Err("may_not_repeat");
             }
             let run = &self.run;
-            let choice = choose::choose(&node, &run.ticket, &run.call, &run.tried)
-                .map_err(choose::Lack::reason)?;
-            if !self.run.take_retry() {
+            let choice = match choose::choose(&node, &run.ticket, &run.call, &run.tried) {
+                Ok(choice) => choice,
+                Err(lack) => {
+                    if lack == Lack::Adapter {
+                        node.demand.want(&run.call);
+                    }
+                    if lack.is_lasting() || node.now() + LOOK_AGAIN > give_up {
+                        return Err(lack.reason());
+                    }
+                    sleep(LOOK_AGAIN).await;
+                    continue;
+                }
+            };
+            if !paid && !self.run.take_retry() {
                 return Err("retry_budget");
             }
+            paid = false;
+            sends += 1;
             if let Sent::Answered(exchange) = self.run.send(&choice, last).await
                 && exchange.parts.status.is_success()
             {
@@ -306,4 +356,16 @@
         }
         Err("turned_away")
     }
+
+    /// Time for which the caller can be expected to wait for the next event.
+    fn caller_waits(&self) -> Duration {
+        let route = &self.run.ticket.route;
+        let patience = (route.objective * CALLER_OBJECTIVES).max(route.gap * CALLER_GAPS);
+        let since = match self.begun {
+            Some(_) => self.last_whole,
+            None => self.run.ticket.arrived,
+        };
+        let waited = self.run.node.now().saturating_sub(since);
+        patience.max(CALLER_PATIENCE).saturating_sub(waited)
+    }
 }
