Decide once a pass whether the placer may order, and read no report while an order is under way

Now one pure Duty gives one answer; reports of engines under order wait; an engine whose entry is missing for a moment keeps its account. Also: one lock for the duty, endpoints without an unused time, no copy of the roster each heartbeat.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 pub mod choice;
 pub mod claim;
 pub mod consent;
+pub mod duty;
 pub mod election;
 pub mod forecast;
 pub mod gate;
--- a/src/serving/belief.rs
+++ b/src/serving/belief.rs
@@ -91,7 +91,7 @@
     pub fn keep_endpoints(&self, keep: &HashSet<Name>, settle: Duration, now: Duration) {
         let missing: Vec<Name> = {
             let inner = self.inner.lock();
-            let known = inner.roster.iter().map(|(entry, _)| entry.id.clone());
+            let known = inner.roster.iter().map(|entry| entry.id.clone());
             known.filter(|id| !keep.contains(id)).collect()
         };
         for id in missing {
@@ -128,8 +128,8 @@
         let Some(catalog) = catalog.as_ref() else {
             return;
         };
-        let in_zone = inner.roster.iter().filter(|(entry, _)| entry.zone == *zone);
-        for (entry, _) in in_zone {
+        let in_zone = inner.roster.iter().filter(|entry| entry.zone == *zone);
+        for entry in in_zone {
             let service = catalog.services.get(&entry.service);
             let cold = service.map_or(Duration::ZERO, |service| service.cold_time);
             if let Some(track) = inner.tracks.get(&entry.id) {
@@ -175,7 +175,7 @@
         } else {
             inner.gone.remove(&id);
         }
-        inner.roster.put(entry, now);
+        inner.roster.put(entry);
         self.publish(&mut inner, now);
     }
 
@@ -207,8 +207,8 @@
         let heard = inner.hearsay.len() + inner.heard_zones.len();
         inner.hearsay.retain(|_, until| *until > now);
         inner.heard_zones.retain(|_, until| *until > now);
-        let roster = inner.roster.clone();
-        inner.gone.retain(|id, at| {
+        let Inner { roster, gone, .. } = &mut *inner;
+        gone.retain(|id, at| {
             let draining = roster.get(id).is_some_and(|entry| entry.draining);
             draining || *at + GONE_TOLD > now
         });
@@ -282,7 +282,7 @@
 
     fn publish(&self, inner: &mut Inner, now: Duration) {
         let mut view = View::default();
-        for (entry, _) in inner.roster.iter() {
+        for entry in inner.roster.iter() {
             let track = inner.tracks.entry(entry.id.clone()).or_default().clone();
             let endpoint = Endpoint {
                 entry: entry.clone(),
--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -166,8 +166,10 @@
         };
         let loading = &mut self.loading;
         self.accounts.retain(|id, account| {
-            let born = view.all.get(id).map(|endpoint| endpoint.entry.born);
-            let stays = born == Some(account.born);
+            let endpoint = view.all.get(id);
+            // What is under way at an engine that is not listed for a moment must not run beside a new account.
+            let unlisted = account.busy || account.ordering;
+            let stays = endpoint.map_or(unlisted, |it| it.entry.born == account.born);
             if !stays {
                 loading.retain(|(engine, _, _)| engine != id);
             }
@@ -182,7 +184,8 @@
             }
         }
         let unread = self.accounts.iter_mut().filter(|(_, account)| {
-            account.sequence.is_none() && !account.busy && account.rest_until <= now
+            let idle = !account.busy && !account.ordering;
+            account.sequence.is_none() && idle && account.rest_until <= now
         });
         let unread = unread.map(|(id, account)| {
             account.busy = true;
--- a/src/serving/placer/lease.rs
+++ b/src/serving/placer/lease.rs
@@ -1,7 +1,6 @@
 //! The lease of the duty, one row in the store.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -37,7 +36,7 @@
     }
     let now = node.boot_now();
     let holds = node.placer.is_holder(node);
-    if holds && !node.placer.election.lock().due(now) {
+    if holds && !node.placer.duty.lock().election.due(now) {
         return PLAN_INTERVAL;
     }
     if !holds {
@@ -59,14 +58,14 @@
 
 /// Writes the lease if it is this daemon's or free.
 async fn claim(node: &Arc<Node>, line: &Line, held: bool) -> Result<(), feed::Error> {
-    let version = node.placer.election.lock().version();
+    let version = node.placer.duty.lock().election.version();
     if let Some(version) = version.filter(|_| held) {
-        let fence = *node.placer.fence.lock();
+        let fence = node.placer.duty.lock().fence;
         let asked = node.boot_now();
         match write(node, line, fence, Some(version)).await {
             Ok(Some(version)) => {
-                let mut election = node.placer.election.lock();
-                election.claimed(fence, version, asked);
+                let mut duty = node.placer.duty.lock();
+                duty.election.claimed(fence, version, asked);
                 return Ok(());
             }
             // The write may have been applied, or another daemon has written; the row tells.
@@ -86,12 +85,15 @@
     });
     let session = session(node);
     // A row of this session that it never knew it had written begins the duty, too.
-    let begun = *node.placer.fence.lock();
+    let begun = node.placer.duty.lock().fence;
     let goes_on = lease
         .as_ref()
         .is_some_and(|(lease, _)| lease.session == session && lease.fence == begun);
     let lease = lease.as_ref().map(|(lease, version)| (lease, *version));
-    let step = node.placer.election.lock().judge(lease, &session, asked);
+    let step = {
+        let mut duty = node.placer.duty.lock();
+        duty.election.judge(lease, &session, asked)
+    };
     let Claim::Claim { fence, version } = step else {
         if held {
             spdlog::warn!("placer: lease lost");
@@ -101,9 +103,10 @@
     let Some(new_version) = write(node, line, fence, version).await? else {
         return Ok(());
     };
-    let mut election = node.placer.election.lock();
-    election.claimed(fence, new_version, asked);
-    drop(election);
+    {
+        let mut duty = node.placer.duty.lock();
+        duty.election.claimed(fence, new_version, asked);
+    }
     if !goes_on {
         // A fresh fleet had no earlier holder; any other has stopped before its row could be taken over.
         let wait = match version {
@@ -117,9 +120,7 @@
 
 /// Begins the duty; orders wait until the lease after an earlier holder's last possible order has passed.
 fn begin_duty(node: &Node, fence: u64, wait: Duration, asked: Duration) {
-    *node.placer.fence.lock() = fence;
-    *node.placer.from.lock() = asked + wait;
-    node.placer.confirmed.store(false, Ordering::Relaxed);
+    node.placer.duty.lock().begin(fence, asked + wait);
     node.placer.ledger.lock().begin(node.now());
     let orders_in_ms = wait.as_millis() as u64;
     spdlog::info!("placer: lease taken", kv: { fence, orders_in_ms });
@@ -161,10 +162,11 @@
 
 async fn release(node: &Node, line: &Line) {
     let held = {
-        let mut election = node.placer.election.lock();
-        let held = election.holds(node.boot_now()).then(|| election.version());
-        election.lost();
-        held.flatten()
+        let mut duty = node.placer.duty.lock();
+        let held = duty.election.holds(node.boot_now());
+        let version = held.then(|| duty.election.version());
+        duty.election.lost();
+        version.flatten()
     };
     let Some(version) = held else {
         return;
@@ -172,7 +174,7 @@
     let lease = Lease {
         session: "".into(),
         address: node.gossip_address,
-        fence: *node.placer.fence.lock(),
+        fence: node.placer.duty.lock().fence,
     };
     match write_row(node, line, &lease, Some(version)).await {
         Ok(_) => spdlog::info!("placer: lease released", kv: { fence = lease.fence }),
--- a/src/serving/placer/mod.rs
+++ b/src/serving/placer/mod.rs
@@ -6,7 +6,6 @@
 mod plan;
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -16,7 +15,7 @@
 use super::account::Target;
 use super::ledger::Ledger;
 use super::{Node, peers};
-use crate::coordination::election::Election;
+use crate::coordination::duty::Duty;
 use crate::protocol::digest::{Body, Demand, Holding};
 use crate::state::record::Name;
 use crate::transport::exchange::Line;
@@ -39,13 +38,8 @@
 /// The duty as this daemon sees it.
 #[derive(Debug)]
 pub struct Placer {
-    election: Mutex<Election>,
+    duty: Mutex<Duty>,
     ledger: Mutex<Ledger>,
-    /// Time from which this holder may order.
-    from: Mutex<Duration>,
-    fence: Mutex<u64>,
-    /// Whether reports were read again since this holder may order.
-    confirmed: AtomicBool,
     urgent: Notify,
 }
 
@@ -53,27 +47,25 @@
     /// Opens the duty, held by nobody.
     pub fn open(lease: Duration) -> Self {
         Self {
-            election: Mutex::new(Election::open(lease * TERM_TENTHS / 10)),
+            duty: Mutex::new(Duty::open(lease * TERM_TENTHS / 10)),
             ledger: Mutex::default(),
-            from: Mutex::default(),
-            fence: Mutex::default(),
-            confirmed: AtomicBool::default(),
             urgent: Notify::default(),
         }
     }
 
     /// Whether this daemon holds the duty now.
     pub fn is_holder(&self, node: &Node) -> bool {
-        self.election.lock().holds(node.boot_now())
+        self.duty.lock().election.holds(node.boot_now())
     }
 
     /// Fencing token of this daemon while it holds the duty.
     pub fn fence(&self, node: &Node) -> Option<u64> {
-        self.is_holder(node).then(|| *self.fence.lock())
+        let duty = self.duty.lock();
+        duty.election.holds(node.boot_now()).then_some(duty.fence)
     }
 
     fn may_order(&self, node: &Node) -> bool {
-        self.is_holder(node) && node.boot_now() >= *self.from.lock()
+        self.duty.lock().may_act(node.boot_now())
     }
 
     /// Takes in demand.
@@ -147,29 +139,36 @@
 
 /// Ends a change of an engine's models: it is free for another, and all daemons learn what it holds.
 fn end(node: &Node, target: &Target, rest: bool) {
-    {
-        let mut ledger = node.placer.ledger.lock();
-        let Some(account) = ledger.at(target) else {
-            return;
-        };
-        account.busy = false;
+    free(node, target, rest, |ledger| {
         let id = &target.engine;
         ledger.loading.retain(|(engine, _, _)| engine != id);
-    }
-    answered(node, target, rest);
+        if let Some(account) = ledger.at(target) {
+            account.busy = false;
+            account.ordering = false;
+        }
+    });
 }
 
 /// Lets the next order begin at an engine, and tells all daemons what it holds.
 fn answered(node: &Node, target: &Target, rest: bool) {
+    free(node, target, rest, |ledger| {
+        if let Some(account) = ledger.at(target) {
+            account.ordering = false;
+        }
+    });
+}
+
+/// Frees an engine, after a pause if something went wrong; a change of a closed account frees nothing.
+fn free(node: &Node, target: &Target, rest: bool, apply: impl FnOnce(&mut Ledger)) {
     let holding = {
         let mut ledger = node.placer.ledger.lock();
         let Some(account) = ledger.at(target) else {
             return;
         };
-        account.ordering = false;
         if rest {
             account.rest_until = node.now() + REST;
         }
+        apply(&mut ledger);
         ledger.holding(&target.engine)
     };
     tell(node, holding.into_iter().collect());
--- a/src/serving/placer/order.rs
+++ b/src/serving/placer/order.rs
@@ -80,7 +80,7 @@
         adapter: adapter.cloned(),
         expected,
         holder: node.settings.name.clone(),
-        fence: *node.placer.fence.lock(),
+        fence: node.placer.duty.lock().fence,
     };
     for copy in 0..ORDER_COPIES {
         let view = node.belief.view.load_full();
--- a/src/serving/placer/plan.rs
+++ b/src/serving/placer/plan.rs
@@ -1,10 +1,10 @@
 //! Decides which orders are due, with what is known of engines and demand.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use super::{change, order};
+use crate::coordination::duty::Phase;
 use crate::coordination::stock::Stock;
 use crate::protocol::digest::Body;
 use crate::serving::account::Target;
@@ -28,13 +28,14 @@
     };
     let view = node.belief.view.load_full();
     let mut ledger = node.placer.ledger.lock();
-    if node.placer.may_order(node) && !node.placer.confirmed.swap(true, Ordering::Relaxed) {
+    let phase = node.placer.duty.lock().phase(node.boot_now());
+    if phase == Phase::Begin {
         ledger.confirm();
     }
     for target in ledger.follow(&view, &catalog.services, now) {
         tokio::spawn(order::read(node.clone(), target));
     }
-    if !node.placer.may_order(node) {
+    if phase == Phase::Wait {
         return;
     }
     let engines = catalog.services.values().filter(|s| s.engine.is_some());
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -30,17 +30,16 @@
     pub models: BTreeMap<Name, Vec<Name>>,
 }
 
-/// Endpoints by identifier, with the time at which each was last seen to change.
+/// Endpoints by identifier.
 #[derive(Debug, Clone, Default)]
 pub struct Roster {
-    entries: HashMap<Name, (Arc<Entry>, Duration)>,
+    entries: HashMap<Name, Arc<Entry>>,
 }
 
 impl Roster {
     /// Adds or replaces an entry.
-    pub fn put(&mut self, entry: Entry, now: Duration) {
-        self.entries
-            .insert(entry.id.clone(), (Arc::new(entry), now));
+    pub fn put(&mut self, entry: Entry) {
+        self.entries.insert(entry.id.clone(), Arc::new(entry));
     }
 
     /// Removes an entry.
@@ -48,14 +47,14 @@
         self.entries.remove(id);
     }
 
-    /// Entries with the time at which each was last seen to change.
-    pub fn iter(&self) -> impl Iterator<Item = &(Arc<Entry>, Duration)> {
+    /// All entries.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Entry>> {
         self.entries.values()
     }
 
     /// An entry by identifier.
     pub fn get(&self, id: &str) -> Option<&Arc<Entry>> {
-        self.entries.get(id).map(|(entry, _)| entry)
+        self.entries.get(id)
     }
 
     /// Keeps only the entries that are named.
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -57,16 +57,6 @@
 
 impl std::error::Error for Error {}
 
-impl Error {
-    /// Whether it is certain that the peer received nothing.
-    pub fn is_unsent(&self) -> bool {
-        matches!(
-            self,
-            Self::Unreachable(_) | Self::ConnectTimeout | Self::Unsent
-        )
-    }
-}
-
 /// Sets the time-outs that let a silent peer be noticed.
 ///
 /// # Errors
--- /dev/null
+++ b/tests/duty.rs
@@ -0,0 +1,62 @@
+//! A duty: when its holder may act, and that it begins once in a term.
+
+use std::time::Duration;
+
+use persimmoncroft::coordination::duty::{Duty, Phase};
+use quickcheck::quickcheck;
+
+const TERM: Duration = Duration::from_millis(1200);
+
+fn millis(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+/// A plan that asked twice saw the wait end in between: it acted before it had begun, and began later.
+#[test]
+fn nothing_is_done_before_the_term_has_begun() {
+    let mut duty = Duty::open(TERM);
+    duty.election.claimed(3, 1, millis(1000));
+    duty.begin(3, millis(1500));
+    let phases = [1000, 1499, 1500, 1501, 1900].map(|at| duty.phase(millis(at)));
+    let expected = [
+        Phase::Wait,
+        Phase::Wait,
+        Phase::Begin,
+        Phase::Act,
+        Phase::Wait,
+    ];
+    assert_eq!(phases, expected);
+
+    // The lease is renewed within the same term.
+    duty.election.claimed(3, 2, millis(2000));
+    assert_eq!(duty.phase(millis(2001)), Phase::Act);
+    duty.begin(4, millis(2100));
+    assert_eq!(duty.phase(millis(2100)), Phase::Begin);
+}
+
+quickcheck! {
+    fn each_term_begins_before_it_acts(steps: Vec<(u8, u16)>) -> bool {
+        let mut duty = Duty::open(TERM);
+        let mut now = millis(1);
+        let mut begun = false;
+        for (kind, pause) in steps {
+            now += millis(u64::from(pause % 700));
+            match kind % 4 {
+                0 => {
+                    duty.election.claimed(1, 1, now);
+                    duty.begin(1, now + millis(u64::from(pause)));
+                    begun = false;
+                }
+                1 => duty.election.claimed(1, 2, now),
+                _ => match duty.phase(now) {
+                    Phase::Wait => {}
+                    Phase::Begin if begun => return false,
+                    Phase::Begin => begun = true,
+                    Phase::Act if !begun => return false,
+                    Phase::Act => {}
+                },
+            }
+        }
+        true
+    }
+}
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -181,6 +181,35 @@
     assert_eq!(ledger.accounts["e1"].sequence, None);
 }
 
+/// A report that is read while an order is under way would end with the engine free for another: `LIMIT` on
+/// hunt-ea7a-7 of glockenhof-grown, where orders had begun before a new holder read all reports again.
+#[test]
+fn engine_under_order_is_neither_read_nor_closed() {
+    let (mut view, services) = fleet();
+    let mut ledger = Ledger::default();
+    let now = Duration::from_secs(1);
+    ledger.follow(&view, &services, now);
+    for id in ["e1", "e2", "e3"] {
+        let target = ledger.target(&id.into()).unwrap();
+        ledger.read(&target, report(4, &["m1"], false), now);
+        ledger.at(&target).unwrap().busy = false;
+    }
+    let e1 = ledger.target(&"e1".into()).unwrap();
+    ledger.at(&e1).unwrap().ordering = true;
+    ledger.confirm();
+    let unread = ledger.follow(&view, &services, now);
+    assert!(unread.len() == 2 && !unread.contains(&e1));
+
+    // Its entry is missing for a moment.
+    let endpoint = view.all.remove("e1").unwrap();
+    ledger.follow(&view, &services, now);
+    assert!(ledger.at(&e1).is_some_and(|account| account.ordering));
+    ledger.at(&e1).unwrap().ordering = false;
+    ledger.follow(&view, &services, now);
+    assert!(ledger.at(&e1).is_none());
+    view.all.insert("e1".into(), endpoint);
+}
+
 /// An adapter that waits for its last requests still takes its place: `LIMIT` on trouble-1 of glockenhof-grown.
 #[test]
 fn adapter_that_waits_to_leave_takes_its_place_until_a_report_lacks_it() {
