--- a/src/coordination/stock.rs
+++ b/src/coordination/stock.rs
@@ -29,6 +29,9 @@
 /// Time for which an adapter stays after its last use before it may yield to another.
 const ADAPTER_REST: Duration = Duration::from_millis(700);
 
+/// Time for which a request uses its adapter, mostly; one that is unloaded earlier keeps its place until then.
+const ADAPTER_USE: Duration = Duration::from_millis(2500);
+
 /// One engine as the planner sees it.
 #[derive(Debug, Clone, Default)]
 pub struct Engine {
@@ -295,7 +298,8 @@
     engines.iter().filter(holds).count()
 }
 
-/// Chooses an engine for an adapter: in the zone if there is one, with a free place, else where an adapter rests longest.
+/// Chooses an engine for an adapter: in the zone if there is one, with a free place, else where an adapter rests; one that
+/// no request uses any more yields first, then one with another copy, then the one that rests longest.
 ///
 /// Engines that hold it already, that lack the model or on which an order is under way are left out.
 pub fn berth(
@@ -316,28 +320,31 @@
     let options = open.filter_map(|engine| {
         let held: usize = engine.models.values().map(BTreeMap::len).sum();
         if held < engine.places {
-            return Some((engine, held, None));
+            return Some((engine, held, false, None));
         }
         let all = engine.models.iter().flat_map(|(model, adapters)| {
             let with_model = move |(adapter, used)| (model, adapter, used);
             adapters.iter().map(with_model)
         });
         let rest = |(model, adapter, used): &(&Name, &Name, &Duration)| {
-            (adapter_copies(engines, model, adapter) < 2, **used)
+            let in_use = **used + ADAPTER_USE > now;
+            (in_use, adapter_copies(engines, model, adapter) < 2, **used)
         };
         let (model, adapter, used) = all.min_by_key(rest)?;
         let rested = *used + ADAPTER_REST <= now || adapter_copies(engines, model, adapter) > 1;
-        rested.then(|| (engine, held, Some((model.clone(), adapter.clone()))))
+        let in_use = *used + ADAPTER_USE > now;
+        rested.then(|| (engine, held, in_use, Some((model.clone(), adapter.clone()))))
     });
-    let best = options.min_by_key(|(engine, held, yields)| {
+    let best = options.min_by_key(|(engine, held, in_use, yields)| {
         (
+            *in_use,
             &*engine.zone != zone,
             yields.is_some(),
             *held,
             engine.id.clone(),
         )
     });
-    best.map(|(engine, _, yields)| Berth {
+    best.map(|(engine, _, _, yields)| Berth {
         engine: engine.id.clone(),
         yields,
     })
--- a/tests/stock.rs
+++ b/tests/stock.rs
@@ -228,5 +228,17 @@
     assert_eq!(&*place.engine, "e0");
     assert_eq!(place.yields, Some(("m".into(), "a1".into())));
     assert_eq!(adapter_copies(&engines, "m", "a6"), 1);
+
+    // One that requests still use keeps its place until they end: another zone's engine with an idle one goes first,
+    // and an idle one goes before one in use that has another copy.
+    let mut near = engine(0, 83.0, &["m"]);
+    let mut far = engine(1, 83.0, &["m"]);
+    let busy = held(&[("a1", 99), ("a2", 99), ("a3", 98), ("a4", 98), ("a5", 98)]);
+    let idle = held(&[("a1", 99), ("a6", 99), ("a7", 60), ("a8", 98), ("a9", 98)]);
+    near.models.insert("m".into(), busy);
+    far.models.insert("m".into(), idle);
+    let place = berth(&[near, far], "m", "b1", "a", now).expect("there is a place");
+    assert_eq!(&*place.engine, "e1");
+    assert_eq!(place.yields, Some(("m".into(), "a7".into())));
     assert!(berth(&engines, "other", "a9", "a", now).is_none());
 }
