--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -124,6 +124,8 @@
     begun: Option<Duration>,
     last_whole: Duration,
     longest_pause: Duration,
+    /// When the endpoint that answers now was last heard.
+    heard: Duration,
 }
 
 /// Answers with an endpoint's stream.
@@ -132,6 +134,7 @@
     run.node.meter.ended("answered", parts.status.as_u16());
     let relay = Relay {
         events: Events::after(run.call.last_event),
+        heard: run.node.now(),
         run,
         exchange: Some(Box::new(exchange)),
         begun: None,
@@ -201,7 +204,7 @@
             return More::Broken("stream_out_of_time");
         }
         let patience = match self.run.may_repeat() {
-            true => left.min((self.run.ticket.route.gap * SILENT_GAPS).max(LEAST_SILENCE)),
+            true => left.min(self.silence_allowed()),
             false => left,
         };
         let Some(exchange) = self.exchange.as_mut() else {
@@ -215,6 +218,7 @@
             Ok(Some(Err(_))) => return More::Broken("stream_broken"),
             Ok(Some(Ok(frame))) => frame,
         };
+        self.heard = self.run.node.now();
         let Ok(data) = frame.into_data() else {
             return More::Nothing;
         };
@@ -225,6 +229,22 @@
         }
     }
 
+    /// Time for which the endpoint may stay silent before another one is looked for.
+    fn silence_allowed(&self) -> Duration {
+        let longest = (self.run.ticket.route.gap * SILENT_GAPS).max(LEAST_SILENCE);
+        let silent = self.run.node.now().saturating_sub(self.heard);
+        longest.saturating_sub(silent).max(LOOK_AGAIN)
+    }
+
+    /// Time since the last event, or since the request came.
+    fn silent_for(&self) -> Duration {
+        let since = match self.begun {
+            Some(_) => self.last_whole,
+            None => self.run.ticket.arrived,
+        };
+        self.run.node.now().saturating_sub(since)
+    }
+
     fn note_begun(&mut self) {
         let node = &self.run.node;
         let now = node.now();
@@ -350,6 +370,7 @@
                 && exchange.parts.status.is_success()
             {
                 node.meter.resumes.inc();
+                self.heard = node.now();
                 self.exchange = Some(exchange);
                 return Ok(());
             }
@@ -361,11 +382,8 @@
     fn caller_waits(&self) -> Duration {
         let route = &self.run.ticket.route;
         let patience = (route.objective * CALLER_OBJECTIVES).max(route.gap * CALLER_GAPS);
-        let since = match self.begun {
-            Some(_) => self.last_whole,
-            None => self.run.ticket.arrived,
-        };
-        let waited = self.run.node.now().saturating_sub(since);
-        patience.max(CALLER_PATIENCE).saturating_sub(waited)
+        patience
+            .max(CALLER_PATIENCE)
+            .saturating_sub(self.silent_for())
     }
 }
