--- a/src/serving/choose.rs
+++ b/src/serving/choose.rs
@@ -197,7 +197,7 @@
 fn cold_part(node: &Node, endpoint: &str, per_second: f64) -> usize {
     let names = node.peers.names();
     let daemons: Vec<&str> = names.iter().map(|name| &**name).collect();
-    let total = per_second * node.settings.cold_over;
+    let total = per_second * node.tuning.load().cold_over;
     warmup::part(endpoint, &node.settings.name, &daemons, total)
 }
 
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -27,6 +27,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant, SystemTime};
 
+use arc_swap::ArcSwap;
 use displaydoc::Display;
 use http::StatusCode;
 use nix::time::{ClockId, clock_gettime};
@@ -39,7 +40,7 @@
 
 use adapter::Adapter;
 use feed::{Freshness, Table};
-use settings::Settings;
+use settings::{Settings, Tuning};
 
 use crate::coordination::retry::Budget;
 use crate::state::call::KeepAlive;
@@ -81,6 +82,8 @@
 pub struct Node {
     /// Settings from the start.
     pub settings: Settings,
+    /// What of them has changed since.
+    pub tuning: ArcSwap<Tuning>,
     /// The platform's translation.
     pub adapter: Adapter,
     /// Start of this process, in milliseconds since the epoch.
@@ -185,7 +188,7 @@
     }
 
     fn saved_retries(&self) -> u64 {
-        let share = self.settings.retry_extra as f64 * RETRY_SHARE;
+        let share = self.tuning.load().retry_extra as f64 * RETRY_SHARE;
         (share / self.peers.count() as f64).floor() as u64
     }
 
@@ -299,17 +302,30 @@
         &self.node
     }
 
+    /// Applies settings that were read again; what cannot change while the daemon runs waits for its next start.
+    pub fn apply(&self, settings: &Settings) {
+        let node = &self.node;
+        let all = node.settings.is_tuned_to(settings);
+        node.tuning.store(Arc::new(settings.tuning));
+        node.limit_retries();
+        spdlog::info!("daemon: settings read again", kv: { tuning:? = settings.tuning, all });
+        if !all {
+            spdlog::warn!("daemon: some settings wait for the next start");
+        }
+    }
+
     /// Leaves gracefully: unready at once, serves on while the balancer notices, and ends within the grace.
     pub async fn stop(self) {
         let node = &self.node;
         let started = Instant::now();
+        let grace = node.tuning.load().grace;
         node.leaving.cancel();
         spdlog::info!("daemon: leaving", kv: { name: = node.settings.name });
-        tokio::time::sleep(ACCEPT_AFTER_TERM.min(node.settings.grace / 2)).await;
+        tokio::time::sleep(ACCEPT_AFTER_TERM.min(grace / 2)).await;
         self.accepting.cancel();
         node.closing.cancel();
         node.connections.close();
-        let left = node.settings.grace.saturating_sub(GRACE_MARGIN);
+        let left = grace.saturating_sub(GRACE_MARGIN);
         let left = left.saturating_sub(started.elapsed());
         let finished = tokio::time::timeout(left, node.connections.wait()).await;
         node.stopped.cancel();
@@ -358,6 +374,7 @@
         stopped: CancellationToken::new(),
         connections: TaskTracker::new(),
         requests: TaskTracker::new(),
+        tuning: ArcSwap::from_pointee(settings.tuning),
         settings,
     })
 }
--- a/src/serving/placer/plan.rs
+++ b/src/serving/placer/plan.rs
@@ -103,7 +103,7 @@
     };
     loop {
         let mut stock = ledger.stock(view, service, now);
-        let window = node.settings.load_window;
+        let window = node.tuning.load().load_window;
         let store = ledger.may_load(engine.loads_per_second, window, now);
         let spare = ledger.may_spare(engine.loads_per_second, window);
         let Some(step) = stock.step(store, spare) else {
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -10,17 +10,28 @@
 use crate::settings::Mistake;
 use crate::state::record::Name;
 
+/// What may change while a daemon runs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tuning {
+    /// Least severe log lines that are written.
+    pub log_level: Level,
+    /// Time from SIGTERM until the process is killed.
+    pub grace: Duration,
+    /// Retries beyond the share of requests that the whole fleet may make in one window.
+    pub retry_extra: u64,
+    /// Factor over an endpoint's cold rate that the fleet may reach.
+    pub cold_over: f64,
+    /// Window in which loads from the weight store are counted.
+    pub load_window: Duration,
+}
+
 /// Everything that a daemon is told at start.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// Name of this daemon, unique in the fleet.
     pub name: Name,
     /// Availability zone.
     pub zone: Name,
-    /// Least severe log lines that are written.
-    pub log_level: Level,
-    /// Time from SIGTERM until the process is killed.
-    pub grace: Duration,
     /// Listener for callers.
     pub caller_listen: SocketAddr,
     /// Listener for the platform's readiness checks.
@@ -33,14 +44,10 @@
     pub metrics_listen: SocketAddr,
     /// The platform's store.
     pub store_address: SocketAddr,
-    /// Retries beyond the share of requests that the whole fleet may make in one window.
-    pub retry_extra: u64,
-    /// Factor over an endpoint's cold rate that the fleet may reach.
-    pub cold_over: f64,
     /// Time for which nobody else may order after a holder's last order.
     pub placement_lease: Duration,
-    /// Window in which loads from the weight store are counted.
-    pub load_window: Duration,
+    /// What may change while the daemon runs.
+    pub tuning: Tuning,
 }
 
 impl Settings {
@@ -56,21 +63,42 @@
         Self {
             name: name.into(),
             zone: zone.into(),
-            log_level: Level::Info,
-            grace: Duration::from_secs(8),
             caller_listen: free,
             ready_listen: free,
             peer_listen: free,
             gossip_listen: free,
             metrics_listen: free,
             store_address,
-            retry_extra: 50,
-            cold_over: 1.0,
             placement_lease: Duration::from_secs(3),
-            load_window: Duration::from_secs(5),
+            tuning: Tuning {
+                log_level: Level::Info,
+                grace: Duration::from_secs(8),
+                retry_extra: 50,
+                cold_over: 1.0,
+                load_window: Duration::from_secs(5),
+            },
         }
     }
 
+    /// Whether others differ from these only in what may change while the daemon runs.
+    ///
+    /// ```
+    /// use persimmoncroft::serving::settings::Settings;
+    /// let settings = Settings::local("d1", "a", "127.0.0.1:8225".parse().unwrap());
+    /// let mut others = settings.clone();
+    /// others.tuning.retry_extra += 1;
+    /// assert!(settings.is_tuned_to(&others));
+    /// others.zone = "b".into();
+    /// assert!(!settings.is_tuned_to(&others));
+    /// ```
+    pub fn is_tuned_to(&self, others: &Self) -> bool {
+        let tuned = Self {
+            tuning: others.tuning,
+            ..self.clone()
+        };
+        tuned == *others
+    }
+
     /// Reads settings from INI text.
     ///
     /// # Errors
@@ -166,10 +194,10 @@
         put(&mut s.zone, word(text)?.into())
     }),
     key("daemon", "log_level", LEVEL, false, |s, text| {
-        put(&mut s.log_level, Level::from_str(text).ok()?)
+        put(&mut s.tuning.log_level, Level::from_str(text).ok()?)
     }),
     key("daemon", "grace_s", NUMBER, false, |s, text| {
-        put(&mut s.grace, seconds(text)?)
+        put(&mut s.tuning.grace, seconds(text)?)
     }),
     key("listen", "callers", ADDRESS, true, |s, text| {
         put(&mut s.caller_listen, text.parse().ok()?)
@@ -190,16 +218,16 @@
         put(&mut s.store_address, text.parse().ok()?)
     }),
     key("limits", "retry_extra", COUNT, false, |s, text| {
-        put(&mut s.retry_extra, text.parse().ok()?)
+        put(&mut s.tuning.retry_extra, text.parse().ok()?)
     }),
     key("limits", "cold_over", NUMBER, false, |s, text| {
-        put(&mut s.cold_over, number(text)?)
+        put(&mut s.tuning.cold_over, number(text)?)
     }),
     key("placement", "lease_ms", NUMBER, false, |s, text| {
         put(&mut s.placement_lease, seconds(text)? / 1000)
     }),
     key("placement", "load_window_s", NUMBER, false, |s, text| {
-        put(&mut s.load_window, seconds(text)?)
+        put(&mut s.tuning.load_window, seconds(text)?)
     }),
 ];
 
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -21,7 +21,7 @@
 fn whole_settings_are_read() {
     let settings = Settings::parse(WHOLE).unwrap();
     assert_eq!(&*settings.name, "d1");
-    assert_eq!(settings.grace, Duration::from_secs(8));
+    assert_eq!(settings.tuning.grace, Duration::from_secs(8));
     assert_eq!(settings.placement_lease, Duration::from_secs(3));
 }
 
