Count retries over a sliding window, so that the streams of a replica that dies can go on

Now each daemon counts its requests and retries of the last window and uses 0.8 of its part of the limit.

--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -1,5 +1,8 @@
 //! A retry budget: retries may be a fixed share of requests, so that they never multiply an overload.
 
+use std::collections::VecDeque;
+use std::time::Duration;
+
 /// Tokens, in tenths of a retry, that one request adds.
 const DEPOSIT: u64 = 2;
 
@@ -60,3 +63,104 @@
         enough
     }
 }
+
+/// Part of what is allowed that is used: daemons count what reached them, and not all windows begin where theirs do.
+const USED: f64 = 0.8;
+
+/// Slots into which a window is divided.
+const SLOTS: u32 = 20;
+
+/// What a fleet may send again to one service within any window of a length.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowed {
+    /// Length of the window.
+    pub window: Duration,
+    /// Retries for each request of the window.
+    pub share: f64,
+    /// Retries beyond that, of the whole fleet.
+    pub extra: f64,
+    /// Daemons over which the extra retries are divided.
+    pub daemons: usize,
+}
+
+/// Requests and retries of one daemon to one service over the last window.
+///
+/// ```
+/// use std::time::Duration;
+/// use persimmoncroft::coordination::retry::{Allowed, Recent};
+/// let second = Duration::from_secs(1);
+/// let allowed = Allowed { window: 10 * second, share: 0.2, extra: 50.0, daemons: 5 };
+/// let mut recent = Recent::open(Duration::ZERO);
+/// // Ten extra retries each, of which eight are used once a whole window has passed since the start.
+/// let taken = |recent: &mut Recent, at| (0..100).filter(|_| recent.take(&allowed, at)).count();
+/// assert_eq!(taken(&mut recent, 9 * second), 0);
+/// assert_eq!(taken(&mut recent, 11 * second), 8);
+/// assert_eq!(taken(&mut recent, 15 * second), 0);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Recent {
+    opened: Duration,
+    slots: VecDeque<Slot>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Slot {
+    number: u128,
+    requests: u64,
+    retries: u64,
+}
+
+impl Recent {
+    /// Opens counts of a daemon that starts now: what its last life sent again is not known, so it begins without a part of
+    /// the extra retries.
+    pub fn open(now: Duration) -> Self {
+        Self {
+            opened: now,
+            slots: VecDeque::new(),
+        }
+    }
+
+    /// Counts a request.
+    pub fn request(&mut self, allowed: &Allowed, now: Duration) {
+        self.slot(allowed, now).requests += 1;
+    }
+
+    /// Takes a retry, if one is allowed.
+    pub fn take(&mut self, allowed: &Allowed, now: Duration) -> bool {
+        let number = self.slot(allowed, now).number;
+        // The oldest slot is only partly within the window: its retries count, its requests don't.
+        let is_whole = |slot: &&Slot| slot.number + u128::from(SLOTS) > number;
+        let whole = self.slots.iter().filter(is_whole);
+        let requests: u64 = whole.map(|slot| slot.requests).sum();
+        let retries: u64 = self.slots.iter().map(|slot| slot.retries).sum();
+        let extra = match now > self.opened + allowed.window {
+            true => allowed.extra / allowed.daemons.max(1) as f64,
+            false => 0.0,
+        };
+        let most = (requests as f64 * allowed.share + extra) * USED;
+        let free = (retries + 1) as f64 <= most;
+        if free {
+            self.slot(allowed, now).retries += 1;
+        }
+        free
+    }
+
+    /// The slot of a time, after those that have left the window are dropped.
+    fn slot(&mut self, allowed: &Allowed, now: Duration) -> &mut Slot {
+        let length = (allowed.window / SLOTS).max(Duration::from_millis(1));
+        let number = now.as_nanos() / length.as_nanos();
+        let has_left = |slot: &Slot| slot.number + u128::from(SLOTS) < number;
+        while self.slots.front().is_some_and(has_left) {
+            self.slots.pop_front();
+        }
+        if self.slots.back().is_none_or(|slot| slot.number < number) {
+            self.slots.push_back(Slot {
+                number,
+                requests: 0,
+                retries: 0,
+            });
+        }
+        let last = self.slots.len() - 1;
+        &mut self.slots[last]
+    }
+}
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -42,7 +42,7 @@
 use feed::{Freshness, Table};
 use settings::{Settings, Tuning};
 
-use crate::coordination::retry::Budget;
+use crate::coordination::retry::{Allowed, Recent};
 use crate::state::call::KeepAlive;
 use crate::state::record::Name;
 use crate::state::row::Change;
@@ -61,9 +61,6 @@
 /// Time before the end of the grace at which requests that still run are cut.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
-/// Share of the fleet's extra retries that is divided over daemons.
-const RETRY_SHARE: f64 = 0.8;
-
 /// Why a daemon could not start.
 #[derive(Debug, Display)]
 pub enum Error {
@@ -109,7 +106,7 @@
     pub pool: Pool,
     /// Parts of workspaces' rates.
     pub limits: admit::Limits,
-    retries: Mutex<HashMap<Name, Budget>>,
+    retries: Mutex<HashMap<Name, Recent>>,
     /// Demand for the placer.
     pub demand: demand::Demand,
     /// The duty to place models.
@@ -168,35 +165,33 @@
 
     /// Counts a request to a service, which earns a part of a retry.
     pub fn deposit_retry(&self, service: &Name) {
+        let (allowed, now) = (self.allowed_retries(), self.now());
         let mut retries = self.retries.lock();
         match retries.get_mut(service) {
-            Some(budget) => budget.deposit(),
-            None => drop(retries.insert(service.clone(), self.empty_budget())),
+            Some(recent) => recent.request(&allowed, now),
+            None => {
+                let mut recent = Recent::open(Duration::ZERO);
+                recent.request(&allowed, now);
+                retries.insert(service.clone(), recent);
+            }
         }
     }
 
-    /// Takes a retry to a service from this daemon's part of the budget.
+    /// Takes a retry to a service, if the fleet's limit leaves this daemon one.
     pub fn take_retry(&self, service: &Name) -> bool {
+        let (allowed, now) = (self.allowed_retries(), self.now());
         let mut retries = self.retries.lock();
-        retries.get_mut(service).is_some_and(Budget::take)
-    }
-
-    fn empty_budget(&self) -> Budget {
-        let mut budget = Budget::empty();
-        budget.limit(self.saved_retries());
-        budget
-    }
-
-    fn saved_retries(&self) -> u64 {
-        let share = self.tuning.load().retry_extra as f64 * RETRY_SHARE;
-        (share / self.peers.count() as f64).floor() as u64
+        let recent = retries.get_mut(service);
+        recent.is_some_and(|recent| recent.take(&allowed, now))
     }
 
-    /// Divides the fleet's extra retries anew.
-    pub fn limit_retries(&self) {
-        let saved = self.saved_retries();
-        for budget in self.retries.lock().values_mut() {
-            budget.limit(saved);
+    fn allowed_retries(&self) -> Allowed {
+        let tuning = self.tuning.load();
+        Allowed {
+            window: tuning.retry_window,
+            share: tuning.retry_share,
+            extra: tuning.retry_extra as f64,
+            daemons: self.peers.count(),
         }
     }
 
@@ -307,7 +302,6 @@
         let node = &self.node;
         let all = node.settings.is_tuned_to(settings);
         node.tuning.store(Arc::new(settings.tuning));
-        node.limit_retries();
         spdlog::info!("daemon: settings read again", kv: { tuning:? = settings.tuning, all });
         if !all {
             spdlog::warn!("daemon: some settings wait for the next start");
--- a/src/serving/peers/tell.rs
+++ b/src/serving/peers/tell.rs
@@ -58,7 +58,6 @@
     let now = node.now();
     node.belief.tick(now);
     node.peers.divide(&node.settings.name, now);
-    node.limit_retries();
     let demand = node.demand.take();
     if node.placer.is_holder(node) {
         node.placer.learn(&demand, now);
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -17,6 +17,10 @@
     pub log_level: Level,
     /// Time from SIGTERM until the process is killed.
     pub grace: Duration,
+    /// Window in which retries are counted.
+    pub retry_window: Duration,
+    /// Retries for each request of a window.
+    pub retry_share: f64,
     /// Retries beyond the share of requests that the whole fleet may make in one window.
     pub retry_extra: u64,
     /// Factor over an endpoint's cold rate that the fleet may reach.
@@ -73,6 +77,8 @@
             tuning: Tuning {
                 log_level: Level::Info,
                 grace: Duration::from_secs(8),
+                retry_window: Duration::from_secs(10),
+                retry_share: 0.2,
                 retry_extra: 50,
                 cold_over: 1.0,
                 load_window: Duration::from_secs(5),
@@ -217,6 +223,12 @@
     key("platform", "store", ADDRESS, true, |s, text| {
         put(&mut s.store_address, text.parse().ok()?)
     }),
+    key("limits", "retry_window_s", NUMBER, false, |s, text| {
+        put(&mut s.tuning.retry_window, seconds(text)?)
+    }),
+    key("limits", "retry_share", NUMBER, false, |s, text| {
+        put(&mut s.tuning.retry_share, number(text)?)
+    }),
     key("limits", "retry_extra", COUNT, false, |s, text| {
         put(&mut s.tuning.retry_extra, text.parse().ok()?)
     }),
