--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -27,6 +27,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant, SystemTime};
 
+use arc_swap::ArcSwap;
 use displaydoc::Display;
 use http::StatusCode;
 use nix::time::{ClockId, clock_gettime};
@@ -39,9 +40,9 @@
 
 use adapter::Adapter;
 use feed::{Freshness, Table};
-use settings::Settings;
+use settings::{Settings, Tuning};
 
-use crate::coordination::retry::Budget;
+use crate::coordination::retry::{Allowed, Recent};
 use crate::state::call::KeepAlive;
 use crate::state::record::Name;
 use crate::state::row::Change;
@@ -60,9 +61,6 @@
 /// Time before the end of the grace at which requests that still run are cut.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
-/// Share of the fleet's extra retries that is divided over daemons.
-const RETRY_SHARE: f64 = 0.8;
-
 /// Why a daemon could not start.
 #[derive(Debug, Display)]
 pub enum Error {
@@ -81,6 +79,8 @@
 pub struct Node {
     /// Settings from the start.
     pub settings: Settings,
+    /// What of them has changed since.
+    pub tuning: ArcSwap<Tuning>,
     /// The platform's translation.
     pub adapter: Adapter,
     /// Start of this process, in milliseconds since the epoch.
@@ -106,7 +106,7 @@
     pub pool: Pool,
     /// Parts of workspaces' rates.
     pub limits: admit::Limits,
-    retries: Mutex<HashMap<Name, Budget>>,
+    retries: Mutex<HashMap<Name, Recent>>,
     /// Demand for the placer.
     pub demand: demand::Demand,
     /// The duty to place models.
@@ -165,35 +165,33 @@
 
     /// Counts a request to a service, which earns a part of a retry.
     pub fn deposit_retry(&self, service: &Name) {
+        let (allowed, now) = (self.allowed_retries(), self.now());
         let mut retries = self.retries.lock();
         match retries.get_mut(service) {
-            Some(budget) => budget.deposit(),
-            None => drop(retries.insert(service.clone(), self.empty_budget())),
+            Some(recent) => recent.request(&allowed, now),
+            None => {
+                let mut recent = Recent::open(Duration::ZERO);
+                recent.request(&allowed, now);
+                retries.insert(service.clone(), recent);
+            }
         }
     }
 
-    /// Takes a retry to a service from this daemon's part of the budget.
+    /// Takes a retry to a service, if the fleet's limit leaves this daemon one.
     pub fn take_retry(&self, service: &Name) -> bool {
+        let (allowed, now) = (self.allowed_retries(), self.now());
         let mut retries = self.retries.lock();
-        retries.get_mut(service).is_some_and(Budget::take)
-    }
-
-    fn empty_budget(&self) -> Budget {
-        let mut budget = Budget::empty();
-        budget.limit(self.saved_retries());
-        budget
-    }
-
-    fn saved_retries(&self) -> u64 {
-        let share = self.settings.retry_extra as f64 * RETRY_SHARE;
-        (share / self.peers.count() as f64).floor() as u64
+        let recent = retries.get_mut(service);
+        recent.is_some_and(|recent| recent.take(&allowed, now))
     }
 
-    /// Divides the fleet's extra retries anew.
-    pub fn limit_retries(&self) {
-        let saved = self.saved_retries();
-        for budget in self.retries.lock().values_mut() {
-            budget.limit(saved);
+    fn allowed_retries(&self) -> Allowed {
+        let tuning = self.tuning.load();
+        Allowed {
+            window: tuning.retry_window,
+            share: tuning.retry_share,
+            extra: tuning.retry_extra as f64,
+            daemons: self.peers.count(),
         }
     }
 
@@ -299,17 +297,29 @@
         &self.node
     }
 
+    /// Applies settings that were read again; what cannot change while the daemon runs waits for its next start.
+    pub fn apply(&self, settings: &Settings) {
+        let node = &self.node;
+        let all = node.settings.is_tuned_to(settings);
+        node.tuning.store(Arc::new(settings.tuning));
+        spdlog::info!("daemon: settings read again", kv: { tuning:? = settings.tuning, all });
+        if !all {
+            spdlog::warn!("daemon: some settings wait for the next start");
+        }
+    }
+
     /// Leaves gracefully: unready at once, serves on while the balancer notices, and ends within the grace.
     pub async fn stop(self) {
         let node = &self.node;
         let started = Instant::now();
+        let grace = node.tuning.load().grace;
         node.leaving.cancel();
         spdlog::info!("daemon: leaving", kv: { name: = node.settings.name });
-        tokio::time::sleep(ACCEPT_AFTER_TERM.min(node.settings.grace / 2)).await;
+        tokio::time::sleep(ACCEPT_AFTER_TERM.min(grace / 2)).await;
         self.accepting.cancel();
         node.closing.cancel();
         node.connections.close();
-        let left = node.settings.grace.saturating_sub(GRACE_MARGIN);
+        let left = grace.saturating_sub(GRACE_MARGIN);
         let left = left.saturating_sub(started.elapsed());
         let finished = tokio::time::timeout(left, node.connections.wait()).await;
         node.stopped.cancel();
@@ -358,6 +368,7 @@
         stopped: CancellationToken::new(),
         connections: TaskTracker::new(),
         requests: TaskTracker::new(),
+        tuning: ArcSwap::from_pointee(settings.tuning),
         settings,
     })
 }
