--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -6,29 +6,12 @@
 use super::account::{Account, Target};
 use super::adapter::Report;
 use super::endpoint::View;
+use super::rate::Rate;
 use crate::coordination::stock::{self, COPY_LOAD, Engine, Need, Stock};
 use crate::protocol::digest::{Demand, Holding};
 use crate::state::catalog::Service;
 use crate::state::record::Name;
 
-/// Time constant of the quick average of demand.
-const QUICK: f64 = 1.0;
-
-/// Time constant of the slow average of demand.
-const SLOW: f64 = 4.0;
-
-/// Time that a load takes, in seconds, for which demand that rises is extended.
-const LOAD_AHEAD: f64 = 2.5;
-
-/// Quick average, as a multiple of the slow one, from which demand is taken to rise rather than to vary.
-const RAMP: f64 = 1.7;
-
-/// Rise of the quick average over the slow one, as a share of all demand, that is taken for one as well.
-const RAMP_SHARE: f64 = 0.12;
-
-/// Share of all demand up to which a rise is believed.
-const LARGEST_SHARE: f64 = 0.6;
-
 /// Time for which a model stays after it was loaded, unless another one has no copy at all.
 const FRESH: Duration = Duration::from_secs(5);
 
@@ -65,47 +48,6 @@
 /// Loads that an earlier holder may have begun within the window.
 const LOADS_OF_OTHERS: usize = 4;
 
-/// A rate, averaged in two ways.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-struct Rate {
-    quick: f64,
-    slow: f64,
-    at: Duration,
-}
-
-impl Rate {
-    fn add(&mut self, amount: f64, now: Duration) {
-        self.decay(now);
-        self.quick += amount / QUICK;
-        self.slow += amount / SLOW;
-    }
-
-    fn decay(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.at).as_secs_f64();
-        self.quick *= (-elapsed / QUICK).exp();
-        self.slow *= (-elapsed / SLOW).exp();
-        self.at = self.at.max(now);
-    }
-
-    /// Amount per second now.
-    fn now(&mut self, now: Duration) -> f64 {
-        self.decay(now);
-        self.quick
-    }
-
-    /// Amount per second to be expected once a load that begins now is complete, of `total` for all models.
-    fn forecast(&mut self, total: f64, now: Duration) -> f64 {
-        self.decay(now);
-        if self.quick < self.slow * RAMP && self.quick < self.slow + total * RAMP_SHARE {
-            return self.slow;
-        }
-        // On a ramp the two averages lag by their time constants.
-        let slope = (self.quick - self.slow).max(0.0) / (SLOW - QUICK);
-        let ahead = self.quick + slope * (QUICK + LOAD_AHEAD);
-        ahead.min(total * LARGEST_SHARE).max(self.quick)
-    }
-}
-
 /// All books of the placer.
 #[derive(Debug, Default)]
 pub struct Ledger {
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -17,6 +17,7 @@
 pub mod meter;
 pub mod peers;
 pub mod placer;
+pub mod rate;
 pub mod relay;
 pub mod send;
 pub mod settings;
