--- a/src/coordination/stock.rs
+++ b/src/coordination/stock.rs
@@ -49,10 +49,8 @@
     pub fresh: BTreeSet<Name>,
     /// Models whose weights it keeps in its own memory or disk.
     pub cached: BTreeSet<Name>,
-    /// Whether a change of its models has to wait.
+    /// Whether the next order has to wait.
     pub busy: bool,
-    /// Whether an order for an adapter has to wait.
-    pub ordering: bool,
     /// Whether requests can be sent to it.
     pub usable: bool,
 }
@@ -311,7 +309,7 @@
 ) -> Option<Berth> {
     let open = engines.iter().filter(|engine| {
         engine.usable
-            && !engine.ordering
+            && !engine.busy
             && engine
                 .models
                 .get(model)
--- a/src/serving/account.rs
+++ b/src/serving/account.rs
@@ -26,10 +26,8 @@
     pub since: HashMap<Name, Duration>,
     /// Models that load without the weight store.
     pub cached: BTreeSet<Name>,
-    /// Whether a change of models or the reading of a report is under way.
+    /// Whether a change or the reading of a report is under way; one at a time.
     pub busy: bool,
-    /// Whether an order for an adapter is under way, or one for a model that is not accepted yet.
-    pub ordering: bool,
     /// No order is sent before this time, after one was refused.
     pub rest_until: Duration,
 }
@@ -67,7 +65,7 @@
 
     /// Whether the next order has to wait.
     pub fn has_to_wait(&self, now: Duration) -> bool {
-        self.busy || self.ordering || self.sequence.is_none() || self.rest_until > now
+        self.busy || self.sequence.is_none() || self.rest_until > now
     }
 
     /// Models and their adapters that requests may be sent for; none until a report was read.
--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -110,8 +110,7 @@
         self.accounts.retain(|id, account| {
             let endpoint = view.all.get(id);
             // What is under way at an engine that is not listed for a moment must not run beside a new account.
-            let unlisted = account.busy || account.ordering;
-            let stays = endpoint.map_or(unlisted, |it| it.entry.born == account.born);
+            let stays = endpoint.map_or(account.busy, |it| it.entry.born == account.born);
             if !stays {
                 loading.retain(|(engine, _, _)| engine != id);
             }
@@ -126,8 +125,7 @@
             }
         }
         let unread = self.accounts.iter_mut().filter(|(_, account)| {
-            let idle = !account.busy && !account.ordering;
-            account.sequence.is_none() && idle && account.rest_until <= now
+            account.sequence.is_none() && !account.busy && account.rest_until <= now
         });
         let unread = unread.map(|(id, account)| {
             account.busy = true;
@@ -218,7 +216,6 @@
                     .collect(),
                 cached: account.cached.clone(),
                 busy: account.has_to_wait(now),
-                ordering: account.has_to_wait(now),
                 usable: is_usable(id),
             })
         });
@@ -273,7 +270,7 @@
         let mut open: Vec<&Engine> = stock
             .engines
             .iter()
-            .filter(|engine| engine.usable && !engine.ordering && places_left(engine) > 0)
+            .filter(|engine| engine.usable && !engine.busy && places_left(engine) > 0)
             .collect();
         open.sort_by_key(|engine| std::cmp::Reverse(places_left(engine)));
         for engine in open {
--- a/src/serving/placer/change.rs
+++ b/src/serving/placer/change.rs
@@ -6,10 +6,10 @@
 use tokio::time::sleep;
 
 use super::order::{RESEND, order, report, settle};
-use super::{answered, end, tell};
+use super::{end, free, tell};
 use crate::coordination::stock::Step;
 use crate::serving::Node;
-use crate::serving::account::{Account, Target};
+use crate::serving::account::Target;
 use crate::serving::adapter::{Operation, Report, Taken};
 use crate::state::record::Name;
 
@@ -46,7 +46,7 @@
         let mut ledger = node.placer.ledger.lock();
         ledger.pending.retain(|pending| *pending != wanted);
     }
-    answered(&node, &target, outcome == Outcome::Unknown);
+    free(&node, &target, outcome == Outcome::Unknown);
     if outcome == Outcome::Waits {
         watch(&node, &target).await;
     }
@@ -118,7 +118,7 @@
             if account.leaving.is_empty() {
                 return;
             }
-            if account.busy || account.ordering {
+            if account.busy {
                 continue;
             }
         }
@@ -126,8 +126,7 @@
             continue;
         };
         let mut ledger = node.placer.ledger.lock();
-        let at_rest = |account: &mut Account| !account.busy && !account.ordering;
-        if ledger.at(target).is_some_and(at_rest) {
+        if ledger.at(target).is_some_and(|account| !account.busy) {
             ledger.read(target, report, node.now());
         }
     }
--- a/src/serving/placer/mod.rs
+++ b/src/serving/placer/mod.rs
@@ -139,36 +139,28 @@
 
 /// Ends a change of an engine's models: it is free for another, and all daemons learn what it holds.
 fn end(node: &Node, target: &Target, rest: bool) {
-    free(node, target, rest, |ledger| {
-        let id = &target.engine;
-        ledger.loading.retain(|(engine, _, _)| engine != id);
-        if let Some(account) = ledger.at(target) {
-            account.busy = false;
-            account.ordering = false;
-        }
-    });
-}
-
-/// Lets the next order begin at an engine, and tells all daemons what it holds.
-fn answered(node: &Node, target: &Target, rest: bool) {
-    free(node, target, rest, |ledger| {
-        if let Some(account) = ledger.at(target) {
-            account.ordering = false;
+    {
+        let mut ledger = node.placer.ledger.lock();
+        if ledger.at(target).is_some() {
+            let id = &target.engine;
+            ledger.loading.retain(|(engine, _, _)| engine != id);
         }
-    });
+    }
+    free(node, target, rest);
 }
 
-/// Frees an engine, after a pause if something went wrong; a change of a closed account frees nothing.
-fn free(node: &Node, target: &Target, rest: bool, apply: impl FnOnce(&mut Ledger)) {
+/// Lets the next order begin at an engine, after a pause if something went wrong, and tells all daemons what it holds; a
+/// change of a closed account frees nothing.
+fn free(node: &Node, target: &Target, rest: bool) {
     let holding = {
         let mut ledger = node.placer.ledger.lock();
         let Some(account) = ledger.at(target) else {
             return;
         };
+        account.busy = false;
         if rest {
             account.rest_until = node.now() + REST;
         }
-        apply(&mut ledger);
         ledger.holding(&target.engine)
     };
     tell(node, holding.into_iter().collect());
--- a/src/serving/placer/plan.rs
+++ b/src/serving/placer/plan.rs
@@ -116,7 +116,6 @@
             return;
         };
         if let Some(account) = ledger.at(&target) {
-            account.busy = true;
             account
                 .models
                 .retain(|model, _| !step.unload.contains(model));
@@ -134,9 +133,9 @@
 /// Lets no other order begin at an engine until this one was answered.
 fn begin(ledger: &mut Ledger, stock: &mut Stock, id: &Name) -> Option<Target> {
     let target = ledger.target(id)?;
-    ledger.at(&target)?.ordering = true;
+    ledger.at(&target)?.busy = true;
     if let Some(engine) = stock.engines.iter_mut().find(|engine| engine.id == *id) {
-        engine.ordering = true;
+        engine.busy = true;
     }
     Some(target)
 }
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -99,6 +99,14 @@
     }
 }
 
+/// An endpoint starts anew under its identifier.
+fn start_anew(view: &mut View, id: &str) {
+    let endpoint = view.all.get_mut(id).unwrap();
+    let mut entry = (*endpoint.entry).clone();
+    entry.born = Some(8);
+    endpoint.entry = Arc::new(entry);
+}
+
 /// Reports lag: one from before an accepted order does not undo what the books say.
 #[test]
 fn report_older_than_the_last_order_is_not_taken_over() {
@@ -130,7 +138,7 @@
         .iter()
         .find(|engine| &*engine.id == "e1")
         .unwrap();
-    assert!(engine.busy && engine.ordering);
+    assert!(engine.busy);
     let later = now + Duration::from_secs(1);
     assert!(ledger.follow(&view, &services, later).contains(&e1));
 }
@@ -143,10 +151,7 @@
     ledger.follow(&view, &services, now);
     let e1 = ledger.target(&"e1".into()).unwrap();
     ledger.read(&e1, report(9, &["m1", "m2"], false), now);
-    let endpoint = view.all.get_mut("e1").unwrap();
-    let mut entry = (*endpoint.entry).clone();
-    entry.born = Some(8);
-    endpoint.entry = Arc::new(entry);
+    start_anew(&mut view, "e1");
     ledger.follow(&view, &services, now);
     assert_eq!(ledger.accounts["e1"].sequence, None);
     assert!(ledger.accounts["e1"].models.is_empty());
@@ -162,10 +167,7 @@
     let before = ledger.target(&"e1".into()).unwrap();
     ledger.read(&before, report(9, &["m1"], false), now);
     ledger.loading.push(("e1".into(), "m2".into(), true));
-    let endpoint = view.all.get_mut("e1").unwrap();
-    let mut entry = (*endpoint.entry).clone();
-    entry.born = Some(8);
-    endpoint.entry = Arc::new(entry);
+    start_anew(&mut view, "e1");
     ledger.follow(&view, &services, now);
     assert!(ledger.at(&before).is_none());
     assert!(ledger.loading.is_empty());
@@ -195,7 +197,7 @@
         ledger.at(&target).unwrap().busy = false;
     }
     let e1 = ledger.target(&"e1".into()).unwrap();
-    ledger.at(&e1).unwrap().ordering = true;
+    ledger.at(&e1).unwrap().busy = true;
     ledger.confirm();
     let unread = ledger.follow(&view, &services, now);
     assert!(unread.len() == 2 && !unread.contains(&e1));
@@ -203,8 +205,8 @@
     // Its entry is missing for a moment.
     let endpoint = view.all.remove("e1").unwrap();
     ledger.follow(&view, &services, now);
-    assert!(ledger.at(&e1).is_some_and(|account| account.ordering));
-    ledger.at(&e1).unwrap().ordering = false;
+    assert!(ledger.at(&e1).is_some_and(|account| account.busy));
+    ledger.at(&e1).unwrap().busy = false;
     ledger.follow(&view, &services, now);
     assert!(ledger.at(&e1).is_none());
     view.all.insert("e1".into(), endpoint);
@@ -251,6 +253,16 @@
     assert_eq!(places(&mut ledger), (3, 100.0));
 }
 
+/// As many prompt as generated tokens by model.
+fn learn(ledger: &mut Ledger, tokens: [(&str, u64); 2], now: Duration) {
+    let tokens = tokens.map(|(model, count)| (model.into(), (count, count)));
+    let demand = Demand {
+        tokens: tokens.into(),
+        adapters: Vec::new(),
+    };
+    ledger.learn(&demand, now);
+}
+
 /// Steady demand in uneven portions is no ramp; a model that takes over the traffic is one.
 #[test]
 fn ramps_are_told_from_noise() {
@@ -261,18 +273,8 @@
     for step in 0..100_u64 {
         let now = Duration::from_millis(step * 400);
         let portion = if step % 3 == 0 { 6000 } else { 3000 };
-        let tokens = [
-            ("m1".into(), (portion, portion)),
-            ("m2".into(), (4000, 4000)),
-        ]
-        .into();
-        ledger.learn(
-            &Demand {
-                tokens,
-                adapters: Vec::new(),
-            },
-            now,
-        );
+        let tokens = [("m1", portion), ("m2", 4000)];
+        learn(&mut ledger, tokens, now);
         if step > 40 {
             let stock = ledger.stock(&view, &services["models"], now);
             most = most.max(stock.needs["m1"].load);
@@ -283,18 +285,8 @@
     let mut rising = 0.0;
     for step in 0..8_u64 {
         let now = Duration::from_millis(40_000 + step * 400);
-        let tokens = [
-            ("m3".into(), (2000 * step, 2000 * step)),
-            ("m2".into(), (4000, 4000)),
-        ]
-        .into();
-        ledger.learn(
-            &Demand {
-                tokens,
-                adapters: Vec::new(),
-            },
-            now,
-        );
+        let tokens = [("m3", 2000 * step), ("m2", 4000)];
+        learn(&mut ledger, tokens, now);
         rising = ledger.stock(&view, &services["models"], now).needs["m3"].load;
     }
     let last = 2000.0 * 7.0 / 0.4 / 38_000.0;
