--- a/src/bin/persimmonctl.rs
+++ b/src/bin/persimmonctl.rs
@@ -2,16 +2,13 @@
 
 use std::process::ExitCode;
 
-use persimmoncroft::cli::{command, options::options};
+use persimmoncroft::cli::{command, options::options, program};
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
-    let options = match options().run_inner(bpaf::Args::current_args()) {
+    let options = match program::options(options()) {
         Ok(options) => options,
-        Err(failure) => {
-            failure.print_message(100);
-            return ExitCode::from(if failure.exit_code() == 0 { 0 } else { 2 });
-        }
+        Err(code) => return code,
     };
     let Err(error) = command::run(options).await else {
         return ExitCode::SUCCESS;
--- a/src/bin/persimmond.rs
+++ b/src/bin/persimmond.rs
@@ -7,9 +7,6 @@
 use persimmoncroft::{Daemon, Settings, cli};
 use tokio::signal::unix::{SignalKind, signal};
 
-/// Exit code for wrong settings.
-const WRONG_SETTINGS: u8 = 2;
-
 /// Serves many models on few accelerators.
 ///
 ///
@@ -34,38 +31,19 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let options = match options().run_inner(bpaf::Args::current_args()) {
+    let options = match cli::program::options(options()) {
         Ok(options) => options,
-        Err(failure) => {
-            failure.print_message(100);
-            return ExitCode::from(if failure.exit_code() == 0 { 0 } else { 2 });
-        }
+        Err(code) => return code,
     };
     match options {
-        Options::Check { file } => match cli::settings::read(&file, Settings::parse) {
-            Some(_) => {
-                println!("{}: ok", file.display());
-                ExitCode::SUCCESS
-            }
-            None => ExitCode::from(WRONG_SETTINGS),
-        },
+        Options::Check { file } => cli::program::check(&file, Settings::parse),
         Options::Serve { settings } => match cli::settings::read(&settings, Settings::parse) {
-            Some(settings) => serve(settings).await,
-            None => ExitCode::from(WRONG_SETTINGS),
+            Some(settings) => cli::program::ended("persimmond", run(settings).await),
+            None => cli::program::wrong(),
         },
     }
 }
 
-async fn serve(settings: Settings) -> ExitCode {
-    match run(settings).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("persimmond: {error}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
 async fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
     cli::log::open(settings.log_level)?;
     let mut terminate = signal(SignalKind::terminate())?;
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,6 +6,7 @@
 pub mod line;
 pub mod log;
 pub mod options;
+pub mod program;
 pub mod records;
 pub mod settings;
 pub mod show;
--- a/src/daemon/claim.rs
+++ b/src/daemon/claim.rs
@@ -15,6 +15,7 @@
     Answer, Attempt, Claim, Found, PREFIX, Phase, State, Step, Subject, Verdict, Word, Written,
     examine, resolve,
 };
+use crate::metric;
 use crate::protocol::table::{Commit, Row, Transaction};
 use crate::transport::table;
 
@@ -51,24 +52,12 @@
 impl Book {
     /// Opens an empty book and registers its metrics.
     pub fn open(registry: &mut Registry) -> Self {
-        let (replayed, refused, unknown) =
-            (Counter::default(), Counter::default(), Counter::default());
-        registry.register(
-            "claim_replayed",
-            "Duplicates that got the stored answer",
-            replayed.clone(),
-        );
-        registry.register("claim_refused", "Duplicates refused", refused.clone());
-        registry.register(
-            "claim_unknown",
-            "Calls whose outcome is unknown",
-            unknown.clone(),
-        );
+        let help = "Duplicates that got the stored answer";
         Self {
             kept: Mutex::default(),
-            replayed,
-            refused,
-            unknown,
+            replayed: metric::open(registry, "claim_replayed", help),
+            refused: metric::open(registry, "claim_refused", "Duplicates refused"),
+            unknown: metric::open(registry, "claim_unknown", "Calls whose outcome is unknown"),
         }
     }
 
--- a/src/daemon/jobs/mod.rs
+++ b/src/daemon/jobs/mod.rs
@@ -18,6 +18,7 @@
 use super::Node;
 use super::caller::{Refusal, json_response};
 use crate::coordination::job::{ENDED_PREFIX, Job, State, Ticket, job_key, queue_key};
+use crate::metric;
 use crate::protocol::caller::Completion;
 use crate::protocol::table::{Commit, Transaction};
 use crate::state::record::Workspace;
@@ -47,24 +48,17 @@
 impl Jobs {
     /// Registers the metrics.
     pub fn open(registry: &mut Registry) -> Self {
-        let jobs = Self::default();
-        registry.register("jobs_accepted", "Jobs stored", jobs.accepted.clone());
-        registry.register(
-            "jobs_done",
-            "Jobs whose answer was recorded",
-            jobs.done.clone(),
-        );
-        registry.register(
-            "jobs_retried",
-            "Runs that ended without an answer",
-            jobs.retried.clone(),
-        );
-        registry.register(
-            "jobs_cancelled",
-            "Jobs withdrawn by their owner",
-            jobs.cancelled.clone(),
-        );
-        jobs
+        Self {
+            peak: peak::Peak::default(),
+            accepted: metric::open(registry, "jobs_accepted", "Jobs stored"),
+            done: metric::open(registry, "jobs_done", "Jobs whose answer was recorded"),
+            retried: metric::open(
+                registry,
+                "jobs_retried",
+                "Runs that ended without an answer",
+            ),
+            cancelled: metric::open(registry, "jobs_cancelled", "Jobs withdrawn by their owner"),
+        }
     }
 }
 
--- a/src/daemon/meter.rs
+++ b/src/daemon/meter.rs
@@ -7,10 +7,11 @@
 use prometheus_client::registry::Registry;
 
 use super::Node;
+use crate::metric;
 use crate::protocol::peer::{Asks, Grants};
 
 /// Counters and gauges of the rate limits.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Meter {
     /// Requests refused for their workspace's rate.
     pub refused: Counter,
@@ -30,35 +31,27 @@
 impl Meter {
     /// Registers all metrics.
     pub fn open(metrics: &mut Registry) -> Self {
-        let meter = Self::default();
-        let refused = meter.refused.clone();
-        metrics.register("limit_refused", "Requests refused for their rate", refused);
-        let waiting = meter.waiting.clone();
-        metrics.register("limit_waiting", "Requests waiting for tokens", waiting);
-        let calls = meter.grant_calls.clone();
-        metrics.register("grant_calls", "Messages to homes for tokens", calls);
-        let asks = meter.grant_asks.clone();
-        metrics.register("grant_asks", "Requests for tokens in those messages", asks);
-        let failures = meter.grant_failures.clone();
-        metrics.register("grant_failures", "Messages without an answer", failures);
-        let tokens = meter.grant_tokens.clone();
-        metrics.register("grant_tokens", "Tokens granted by other daemons", tokens);
-        let time = meter.grant_microseconds.clone();
-        metrics.register("grant_microseconds", "Time waited for homes", time);
-        metrics.register(
-            "seat_parts",
-            "Parts of 1048576 in the seat",
-            meter.parts.clone(),
-        );
-        let usable = meter.usable.clone();
-        metrics.register("seat_usable_parts", "Parts that may be used now", usable);
-        metrics.register("seat_lent_parts", "Parts that are lent", meter.lent.clone());
-        metrics.register(
-            "loans_borrowed",
-            "Loans to this daemon",
-            meter.loans.clone(),
-        );
-        meter
+        Self {
+            refused: metric::open(metrics, "limit_refused", "Requests refused for their rate"),
+            waiting: metric::open(metrics, "limit_waiting", "Requests waiting for tokens"),
+            grant_calls: metric::open(metrics, "grant_calls", "Messages to homes for tokens"),
+            grant_asks: metric::open(
+                metrics,
+                "grant_asks",
+                "Requests for tokens in those messages",
+            ),
+            grant_failures: metric::open(metrics, "grant_failures", "Messages without an answer"),
+            grant_tokens: metric::open(metrics, "grant_tokens", "Tokens granted by other daemons"),
+            grant_microseconds: metric::open(
+                metrics,
+                "grant_microseconds",
+                "Time waited for homes",
+            ),
+            parts: metric::open(metrics, "seat_parts", "Parts of 1048576 in the seat"),
+            usable: metric::open(metrics, "seat_usable_parts", "Parts that may be used now"),
+            lent: metric::open(metrics, "seat_lent_parts", "Parts that are lent"),
+            loans: metric::open(metrics, "loans_borrowed", "Loans to this daemon"),
+        }
     }
 
     /// Counts one message to a home.
--- a/src/daemon/placer/metric.rs
+++ b/src/daemon/placer/metric.rs
@@ -15,6 +15,7 @@
 
 use crate::coordination::ledger::Change;
 use crate::coordination::placement::Move;
+use crate::metric;
 use crate::state::demand::Demand;
 use crate::state::record::Name;
 
@@ -48,38 +49,39 @@
 impl Placement {
     /// Registers the metrics.
     pub fn open(registry: &mut Registry) -> Self {
-        let placement = Self::default();
-        registry.register(
-            "placement_moves",
-            "Model loads and unloads ordered",
-            placement.moves.clone(),
-        );
-        registry.register(
-            "placement_orders_sent",
-            "Orders sent to endpoints, resent copies included",
-            placement.orders_sent.clone(),
-        );
-        registry.register(
-            "placement_orders_refused",
-            "Orders that endpoints refused",
-            placement.orders_refused.clone(),
-        );
-        registry.register(
-            "adapter_orders_sent",
-            "Adapter orders sent to endpoints, resent copies included",
-            placement.adapter_orders.clone(),
-        );
-        registry.register(
-            "placement_ledger_conflicts",
-            "Ledger writes that lost to another writer",
-            placement.ledger_conflicts.clone(),
-        );
-        registry.register(
-            "placement_holder",
-            "Whether this daemon decides its zone's placement",
-            placement.holding.clone(),
-        );
-        placement
+        Self {
+            moves: metric::open(
+                registry,
+                "placement_moves",
+                "Model loads and unloads ordered",
+            ),
+            orders_sent: metric::open(
+                registry,
+                "placement_orders_sent",
+                "Orders sent to endpoints, resent copies included",
+            ),
+            orders_refused: metric::open(
+                registry,
+                "placement_orders_refused",
+                "Orders that endpoints refused",
+            ),
+            adapter_orders: metric::open(
+                registry,
+                "adapter_orders_sent",
+                "Adapter orders sent to endpoints, resent copies included",
+            ),
+            ledger_conflicts: metric::open(
+                registry,
+                "placement_ledger_conflicts",
+                "Ledger writes that lost to another writer",
+            ),
+            holding: metric::open(
+                registry,
+                "placement_holder",
+                "Whether this daemon decides its zone's placement",
+            ),
+            ..Self::default()
+        }
     }
 
     /// Notes whether this daemon decides its zone's placement.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod cli;
 pub mod coordination;
 pub mod daemon;
+pub mod metric;
 pub mod protocol;
 pub mod serving;
 pub mod settings;
--- /dev/null
+++ b/src/metric.rs
@@ -0,0 +1,19 @@
+//! Metrics and their registration, for all parts of the daemons.
+
+use prometheus_client::registry::{Metric, Registry};
+
+/// Registers a new metric and returns its handle.
+///
+/// ```
+/// use persimmoncroft::metric;
+/// use prometheus_client::metrics::counter::Counter;
+/// use prometheus_client::registry::Registry;
+/// let mut registry = Registry::default();
+/// let retries: Counter = metric::open(&mut registry, "retries", "Requests sent again");
+/// assert_eq!(retries.inc(), 0);
+/// ```
+pub fn open<M: Metric + Clone + Default>(registry: &mut Registry, name: &str, help: &str) -> M {
+    let metric = M::default();
+    registry.register(name, help, metric.clone());
+    metric
+}
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -7,6 +7,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::metric;
+
 /// How a request ended.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Outcome {
@@ -46,52 +48,22 @@
 impl Meter {
     /// Registers all metrics.
     pub fn open(registry: &mut Registry) -> Self {
-        let meter = Self {
-            outcomes: Family::default(),
-            first_byte: Histogram::new(exponential_buckets(0.002, 2.0, 14)),
-            retries: Counter::default(),
-            resumes: Counter::default(),
-            late: Counter::default(),
-            connects: Counter::default(),
-            store_calls: Counter::default(),
-            orders: Counter::default(),
-            reports: Counter::default(),
-            digests: Counter::default(),
-            in_flight: Gauge::default(),
-        };
-        registry.register(
-            "requests",
-            "Requests by how they ended",
-            meter.outcomes.clone(),
-        );
-        let first = meter.first_byte.clone();
-        registry.register("first_byte_seconds", "Time to the first byte", first);
-        registry.register("retries", "Requests sent again", meter.retries.clone());
-        registry.register(
-            "resumes",
-            "Streams resumed elsewhere",
-            meter.resumes.clone(),
-        );
-        registry.register("late", "Complete streams not on time", meter.late.clone());
-        registry.register(
-            "connects",
-            "New connections to endpoints",
-            meter.connects.clone(),
-        );
-        registry.register(
-            "store_calls",
-            "Calls to the store",
-            meter.store_calls.clone(),
-        );
-        registry.register("orders", "Orders to engines", meter.orders.clone());
-        registry.register(
-            "reports",
-            "Reports read from engines",
-            meter.reports.clone(),
-        );
-        registry.register("digests", "Datagrams sent to peers", meter.digests.clone());
-        registry.register("in_flight", "Requests in flight", meter.in_flight.clone());
-        meter
+        let first_byte = Histogram::new(exponential_buckets(0.002, 2.0, 14));
+        let help = "Time to the first byte";
+        registry.register("first_byte_seconds", help, first_byte.clone());
+        Self {
+            outcomes: metric::open(registry, "requests", "Requests by how they ended"),
+            first_byte,
+            retries: metric::open(registry, "retries", "Requests sent again"),
+            resumes: metric::open(registry, "resumes", "Streams resumed elsewhere"),
+            late: metric::open(registry, "late", "Complete streams not on time"),
+            connects: metric::open(registry, "connects", "New connections to endpoints"),
+            store_calls: metric::open(registry, "store_calls", "Calls to the store"),
+            orders: metric::open(registry, "orders", "Orders to engines"),
+            reports: metric::open(registry, "reports", "Reports read from engines"),
+            digests: metric::open(registry, "digests", "Datagrams sent to peers"),
+            in_flight: metric::open(registry, "in_flight", "Requests in flight"),
+        }
     }
 
     /// Counts the end of a request.
