Accept fractions for every limit of the platform's settings

Infinite and NaN values were accepted by every number; they are mistakes now. daemon.cores is new (default 1). Test: limits_may_be_fractions failed before (expected a whole number).

--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -193,7 +193,7 @@
         Limit {
             window: tuning.retry_window,
             share: tuning.retry_share,
-            extra: tuning.retry_extra as f64,
+            extra: tuning.retry_extra,
             daemons: self.peers.count(),
         }
     }
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -22,7 +22,7 @@
     /// Retries allowed per request in a window.
     pub retry_share: f64,
     /// Retries allowed for the whole fleet in a window, in addition to the share of requests.
-    pub retry_extra: u64,
+    pub retry_extra: f64,
     /// Factor applied to a cold endpoint's request rate to get the limit of the fleet.
     pub cold_over: f64,
     /// Window in which loads from the weight store are counted.
@@ -36,6 +36,8 @@
     pub name: Name,
     /// Availability zone.
     pub zone: Name,
+    /// Processor time that this daemon's instance has, in cores; larger instances take duties first.
+    pub cores: f64,
     /// Listener for callers.
     pub caller_listen: SocketAddr,
     /// Listener for the platform's readiness checks.
@@ -67,6 +69,7 @@
         Self {
             name: name.into(),
             zone: zone.into(),
+            cores: 1.0,
             caller_listen: free,
             ready_listen: free,
             peer_listen: free,
@@ -79,7 +82,7 @@
                 grace: Duration::from_secs(8),
                 retry_window: Duration::from_secs(10),
                 retry_share: 0.2,
-                retry_extra: 50,
+                retry_extra: 50.0,
                 cold_over: 1.0,
                 load_window: Duration::from_secs(5),
             },
@@ -92,7 +95,7 @@
     /// use persimmoncroft::serving::settings::Settings;
     /// let settings = Settings::local("d1", "a", "127.0.0.1:8225".parse().unwrap());
     /// let mut others = settings.clone();
-    /// others.tuning.retry_extra += 1;
+    /// others.tuning.retry_extra += 1.0;
     /// assert!(settings.differs_only_in_tuning(&others));
     /// others.zone = "b".into();
     /// assert!(!settings.differs_only_in_tuning(&others));
@@ -188,7 +191,6 @@
 
 const ADDRESS: &str = "IP:PORT";
 const NAME: &str = "a name without blanks";
-const COUNT: &str = "a whole number";
 const NUMBER: &str = "a number from 0";
 const LEVEL: &str = "one of critical, error, warn, info, debug, trace";
 
@@ -199,6 +201,9 @@
     key("daemon", "zone", NAME, true, |s, text| {
         assign(&mut s.zone, parse_name(text)?.into())
     }),
+    key("daemon", "cores", NUMBER, false, |s, text| {
+        assign(&mut s.cores, parse_number(text)?)
+    }),
     key("daemon", "log_level", LEVEL, false, |s, text| {
         assign(&mut s.tuning.log_level, Level::from_str(text).ok()?)
     }),
@@ -229,8 +234,8 @@
     key("limits", "retry_share", NUMBER, false, |s, text| {
         assign(&mut s.tuning.retry_share, parse_number(text)?)
     }),
-    key("limits", "retry_extra", COUNT, false, |s, text| {
-        assign(&mut s.tuning.retry_extra, text.parse().ok()?)
+    key("limits", "retry_extra", NUMBER, false, |s, text| {
+        assign(&mut s.tuning.retry_extra, parse_number(text)?)
     }),
     key("limits", "cold_over", NUMBER, false, |s, text| {
         assign(&mut s.tuning.cold_over, parse_number(text)?)
@@ -270,7 +275,8 @@
 }
 
 fn parse_number(text: &str) -> Option<f64> {
-    text.parse().ok().filter(|number: &f64| *number >= 0.0)
+    let is_valid = |number: &f64| number.is_finite() && *number >= 0.0;
+    text.parse().ok().filter(is_valid)
 }
 
 fn parse_seconds(text: &str) -> Option<Duration> {
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -25,6 +25,34 @@
     assert_eq!(settings.placement_lease, Duration::from_secs(3));
 }
 
+/// Small copies of a large site divide its limits, so that any of them may have a fraction.
+#[test]
+fn limits_may_be_fractions() {
+    let fractions = "[limits]\nretry_extra = 33.1578947368421\nretry_share = 0.2\nretry_window_s = 9.5\n\
+        cold_over = 1.5\n[placement]\nlease_ms = 2999.5\nload_window_s = 4.75\n";
+    let text = VALID.replace("[placement]\nlease_ms = 3000\n", fractions);
+    let text = text.replace("grace_s = 8\n", "grace_s = 7.5\ncores = 0.12\n");
+    let settings = Settings::parse(&text).unwrap();
+    assert_eq!(settings.cores, 0.12);
+    assert_eq!(settings.placement_lease, Duration::from_micros(2_999_500));
+    let tuning = settings.tuning;
+    assert_eq!(tuning.grace, Duration::from_millis(7500));
+    assert_eq!(tuning.retry_extra, 33.1578947368421);
+    assert_eq!(tuning.retry_share, 0.2);
+    assert_eq!(tuning.retry_window, Duration::from_millis(9500));
+    assert_eq!(tuning.cold_over, 1.5);
+    assert_eq!(tuning.load_window, Duration::from_millis(4750));
+}
+
+#[test]
+fn limits_must_be_finite_and_not_negative() {
+    for wrong in ["-1", "inf", "NaN", "1e400", "many"] {
+        let text = VALID.to_owned() + &format!("[limits]\nretry_extra = {wrong}\n");
+        let mistakes = Settings::parse(&text).unwrap_err();
+        assert_eq!(mistakes[0].key, "retry_extra", "{wrong}");
+    }
+}
+
 #[test]
 fn all_invalid_settings_are_reported() {
     let text = VALID.replace("zone = a\n", "zone = a b\nzones = 3\n");
