Read the store through a few daemons of each zone

Change: readers by size and hash, one for 32 daemons of a zone; the others follow them by RPC and fall back to the store. A peer that is ahead makes a daemon list its tables anew only if it still lacks that version after the pauses between reads (it was not reset before).

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -25,6 +25,7 @@
 pub mod placement;
 pub mod queue;
 pub mod ramp;
+pub mod reader;
 pub mod reference;
 pub mod rendezvous;
 pub mod replication;
--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -1,4 +1,4 @@
-//! Watches the operators' and the endpoints' tables in the platform's store.
+//! Watches the operators' and the endpoints' tables, in the platform's store or through a daemon that reads the store.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -6,17 +6,27 @@
 
 use displaydoc::Display;
 use http::StatusCode;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use super::codec::Notice;
+use super::peers::source;
 use super::{Node, jitter};
+use crate::coordination::reader::{Selector, Source};
+use crate::state::mirror::{Changes, Mirror};
+use crate::state::record::Name;
 use crate::state::row::{Page, Row};
 use crate::transport::exchange::{self, Channel};
+use crate::transport::peer;
 
-/// Time that a long poll waits for a change.
+/// Time that a long poll waits for a change in a small fleet, whose heartbeats show when it hangs.
 const POLL_WAIT: Duration = Duration::from_secs(10);
 
+/// Time that a long poll waits for a change in a large fleet, so that a connection that hangs is noticed.
+const LARGE_FLEET_POLL_WAIT: Duration = Duration::from_millis(1500);
+
 /// Timeout of a call, in addition to the time of a long poll.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
 
@@ -43,43 +53,114 @@
     Compacted,
     /// response of the store is malformed
     Page,
+    /// reader failed: {0}
+    Reader(peer::Error),
+    /// reader {0} is not known any more
+    UnknownReader(Name),
 }
 
 impl std::error::Error for Error {}
 
 /// A watched table.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
 pub enum Table {
     /// Table that operators write.
+    #[serde(rename = "o")]
     Operator,
     /// Table that endpoints write.
+    #[serde(rename = "e")]
     Endpoints,
 }
 
-/// Freshness of the data from one table.
+/// One table as this daemon knows it.
 #[derive(Debug, Default)]
-pub struct Freshness {
+pub struct Feed {
     /// Requests a full listing at once, on a new connection.
     pub nudge: Notify,
-    failing_since: parking_lot::Mutex<Option<Duration>>,
+    changed: Notify,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    mirror: Mirror,
+    failing_since: Option<Duration>,
+    /// Whether the last read was from the store, so that other daemons may follow this one.
+    reads_store: bool,
+    /// Time until which removed endpoints may register again.
+    defer_until: Duration,
 }
 
-impl Freshness {
-    /// Whether calls have been failing for at least the time `min_age`.
+impl Feed {
+    /// Whether reads have been failing for at least the time `min_age`.
     pub fn stale(&self, min_age: Duration, now: Duration) -> bool {
-        let since = *self.failing_since.lock();
+        let since = self.state.lock().failing_since;
         since.is_some_and(|since| since + min_age <= now)
     }
 
-    /// Records the result of a call; returns whether it is the first success after failures.
-    fn record(&self, ok: bool, now: Duration) -> bool {
-        let mut since = self.failing_since.lock();
-        let was_failing = since.is_some();
-        *since = match ok {
-            true => None,
-            false => since.or(Some(now)),
-        };
-        was_failing && ok
+    /// Records a read that failed; returns whether it is the first after a success.
+    fn failed(&self, now: Duration) -> bool {
+        let mut state = self.state.lock();
+        state.reads_store = false;
+        state.defer_until = now + REREGISTRATION_TIME;
+        let is_first = state.failing_since.is_none();
+        state.failing_since.get_or_insert(now);
+        drop(state);
+        self.changed.notify_waiters();
+        is_first
+    }
+
+    /// Records a read that succeeded; returns whether it is the first after a failure.
+    fn succeeded(&self, source: &Source, changes: &Changes, now: Duration) -> bool {
+        let mut state = self.state.lock();
+        state.mirror.apply(changes);
+        state.reads_store = *source == Source::Store;
+        let was_failing = state.failing_since.take().is_some();
+        if was_failing {
+            state.defer_until = now + REREGISTRATION_TIME;
+        }
+        drop(state);
+        if !changes.rows.is_empty() {
+            self.changed.notify_waiters();
+        }
+        was_failing
+    }
+
+    fn defer_until(&self) -> Duration {
+        self.state.lock().defer_until
+    }
+
+    /// Defers removals at least until a time at which the reader does.
+    fn defer(&self, until: Duration) {
+        let mut state = self.state.lock();
+        state.defer_until = state.defer_until.max(until);
+    }
+
+    /// Waits until the table has changed after a version, for at most `wait`; `None` if this daemon does not read the
+    /// store. Returns the changes, and the time for which removals are to be deferred.
+    pub async fn follow(
+        &self,
+        name: &str,
+        after: u64,
+        wait: Duration,
+        now: impl Fn() -> Duration,
+    ) -> Option<(Changes, Duration)> {
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.state.lock();
+                if !state.reads_store {
+                    return None;
+                }
+                let changes = state.mirror.changes_after(name, after);
+                let is_over = tokio::time::Instant::now() >= deadline;
+                if !changes.rows.is_empty() || changes.all || is_over {
+                    return Some((changes, state.defer_until.saturating_sub(now())));
+                }
+            }
+            let _ = tokio::time::timeout_at(deadline, changed).await;
+        }
     }
 }
 
@@ -89,20 +170,20 @@
 }
 
 async fn watch(node: &Node, table: Table) {
+    let feed = feed(node, table);
     let mut channel = Channel::open(node.settings.store_address);
+    let mut selector = Selector::default();
     let mut version = None;
-    let mut defer_until = Duration::ZERO;
     loop {
-        let freshness = freshness(node, table);
-        let step = async {
-            match version {
-                None => read_all(node, table, &channel, defer_until).await,
-                Some(after) => read_changes(node, table, &channel, after, defer_until).await,
-            }
+        let readers = node.peers.readers(&node.settings, node.now());
+        let source = match version {
+            // Daemons that start find each other by the store anyway.
+            None if !feed.stale(Duration::ZERO, node.now()) => Source::Store,
+            _ => selector.choose(&node.settings.name, &readers, node.now()),
         };
         let result = tokio::select! {
-            result = step => result,
-            () = freshness.nudge.notified() => {
+            result = read(node, table, &source, &channel, version) => result,
+            () = feed.nudge.notified() => {
                 // The connection may be dead without having been reset.
                 channel = Channel::open(node.settings.store_address);
                 version = None;
@@ -111,89 +192,135 @@
         };
         let now = node.now();
         match result {
-            Ok((read_version, changed)) => {
-                if freshness.record(true, now) {
-                    defer_until = now + REREGISTRATION_TIME;
-                    spdlog::info!("feed: regained", kv: { table:? = table, version = read_version });
+            Ok(changes) => {
+                selector.succeeded(&source);
+                apply(node, table, &changes);
+                if feed.succeeded(&source, &changes, now) {
+                    spdlog::info!("feed: regained", kv: {
+                        table:? = table,
+                        source:? = source,
+                        version = changes.version,
+                    });
                 }
-                version = Some(read_version);
-                if changed {
+                version = Some(changes.version.max(version.unwrap_or_default()));
+                if source == Source::Store && !changes.rows.is_empty() {
                     sleep((CHANGE_PAUSE * node.peers.interval_factor()).min(MAX_CHANGE_PAUSE))
                         .await;
                 }
             }
             Err(error) => {
-                if !freshness.stale(Duration::ZERO, now) {
-                    spdlog::warn!("feed: lost", kv: { table:? = table, error: = error });
-                }
-                freshness.record(false, now);
-                defer_until = now + REREGISTRATION_TIME;
+                selector.failed(&source, now);
                 if matches!(error, Error::Compacted) {
                     version = None;
                 }
+                if source == Source::Store && feed.failed(now) {
+                    spdlog::warn!("feed: lost", kv: { table:? = table, error: = error });
+                } else {
+                    node.journal.line(|| {
+                        spdlog::info!("feed: read failed", kv: {
+                            table:? = table,
+                            source:? = source,
+                            error: = error,
+                        });
+                    });
+                }
                 channel = Channel::open(node.settings.store_address);
-                sleep(jitter(RETRY_PAUSE)).await;
+                let next = selector.choose(&node.settings.name, &readers, now);
+                if next == source || next != Source::Store {
+                    sleep(jitter(RETRY_PAUSE)).await;
+                }
             }
         }
     }
 }
 
-fn freshness(node: &Node, table: Table) -> &Freshness {
+/// Feed of a table.
+pub fn feed(node: &Node, table: Table) -> &Feed {
     match table {
         Table::Operator => &node.operator_feed,
         Table::Endpoints => &node.endpoint_feed,
     }
 }
 
-fn table_name(node: &Node, table: Table) -> &'static str {
+/// Name of a table in the store.
+pub fn table_name(node: &Node, table: Table) -> &'static str {
     match table {
         Table::Operator => node.codec.operator_table,
         Table::Endpoints => node.codec.endpoint_table,
     }
 }
 
-async fn read_changes(
+async fn read(
     node: &Node,
     table: Table,
+    source: &Source,
     channel: &Channel,
-    after: u64,
-    defer_until: Duration,
-) -> Result<(u64, bool), Error> {
-    let request = (node.codec.follow)(table_name(node, table), after, POLL_WAIT);
-    let page = fetch(node, channel, request, POLL_WAIT + CALL_TIMEOUT).await?;
-    for row in &page.rows {
-        apply_row(node, row, defer_until);
+    version: Option<u64>,
+) -> Result<Changes, Error> {
+    match (source, version) {
+        (Source::Store, None) => read_all(node, table, channel).await,
+        (Source::Store, Some(after)) => read_changes(node, table, channel, after).await,
+        (Source::Peer(reader), after) => {
+            let (changes, deferral) =
+                source::follow(node, reader, table, after.unwrap_or_default()).await?;
+            feed(node, table).defer(node.now() + deferral);
+            Ok(changes)
+        }
     }
-    note_version(node, table, &page.rows);
-    Ok((page.version, !page.rows.is_empty()))
 }
 
-async fn read_all(
+async fn read_changes(
     node: &Node,
     table: Table,
     channel: &Channel,
-    defer_until: Duration,
-) -> Result<(u64, bool), Error> {
-    let rows = list(node, channel, table_name(node, table)).await?;
-    let (rows, version) = (rows.rows, rows.version);
+    after: u64,
+) -> Result<Changes, Error> {
+    let wait = match node.peers.interval_factor() {
+        1 => POLL_WAIT,
+        _ => LARGE_FLEET_POLL_WAIT,
+    };
+    let request = (node.codec.follow)(table_name(node, table), after, wait);
+    let page = fetch(node, channel, request, wait + CALL_TIMEOUT).await?;
+    Ok(Changes {
+        rows: page.rows,
+        version: page.version,
+        all: false,
+    })
+}
+
+async fn read_all(node: &Node, table: Table, channel: &Channel) -> Result<Changes, Error> {
+    let page = list(node, channel, table_name(node, table)).await?;
+    Ok(Changes {
+        rows: page.rows,
+        version: page.version,
+        all: true,
+    })
+}
+
+/// Puts changes of a table in force.
+fn apply(node: &Node, table: Table, changes: &Changes) {
+    let defer_until = feed(node, table).defer_until();
     let mut endpoints = HashSet::new();
     let mut zones = HashSet::new();
-    for row in &rows {
-        match (node.codec.notice)(row) {
-            Notice::Endpoint(entry) => drop(endpoints.insert(entry.id)),
-            Notice::Zone { zone, out: true } => drop(zones.insert(zone)),
+    for row in &changes.rows {
+        let notice = (node.codec.notice)(row);
+        match &notice {
+            Notice::Endpoint(entry) => drop(endpoints.insert(entry.id.clone())),
+            Notice::Zone { zone, out: true } => drop(zones.insert(zone.clone())),
             _ => {}
         }
-        apply_row(node, row, defer_until);
+        let source = row.value.clone().unwrap_or_default();
+        node.fleet.apply(notice, &source, defer_until, node.now());
     }
     match table {
-        Table::Operator => node.fleet.retain_zones(&zones, node.now()),
-        Table::Endpoints => node
-            .fleet
-            .retain_endpoints(&endpoints, defer_until, node.now()),
+        Table::Operator if changes.all => node.fleet.retain_zones(&zones, node.now()),
+        Table::Endpoints if changes.all => {
+            node.fleet
+                .retain_endpoints(&endpoints, defer_until, node.now());
+        }
+        _ => {}
     }
-    note_version(node, table, &rows);
-    Ok((version, true))
+    note_version(node, table, &changes.rows);
 }
 
 /// Reads all rows of a table.
@@ -235,12 +362,6 @@
     }
 }
 
-fn apply_row(node: &Node, row: &Row, defer_until: Duration) {
-    let notice = (node.codec.notice)(row);
-    let source = row.value.clone().unwrap_or_default();
-    node.fleet.apply(notice, &source, defer_until, node.now());
-}
-
 fn note_version(node: &Node, table: Table, rows: &[Row]) {
     let version = rows.iter().map(|row| row.version).max().unwrap_or_default();
     match table {
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -41,7 +41,7 @@
 use tokio_util::task::TaskTracker;
 
 use codec::Codec;
-use feed::{Freshness, Table};
+use feed::{Feed, Table};
 use settings::{Settings, Tuning};
 
 use crate::coordination::retry::{Limit, Window};
@@ -91,10 +91,10 @@
     origin: Instant,
     /// Known state of the fleet.
     pub fleet: fleet::Fleet,
-    /// Freshness of the operators' table.
-    pub operator_feed: Freshness,
-    /// Freshness of the endpoints' table.
-    pub endpoint_feed: Freshness,
+    /// The operators' table.
+    pub operator_feed: Feed,
+    /// The endpoints' table.
+    pub endpoint_feed: Feed,
     /// Other daemons.
     pub peers: peers::Peers,
     /// Socket for datagrams between daemons.
@@ -356,8 +356,8 @@
         session: session.as_millis() as u64,
         origin: Instant::now(),
         fleet: fleet::Fleet::default(),
-        operator_feed: Freshness::default(),
-        endpoint_feed: Freshness::default(),
+        operator_feed: Feed::default(),
+        endpoint_feed: Feed::default(),
         peers: peers::Peers::open(&settings.name),
         gossip_address: gossip.address().map_err(Error::Gossip)?,
         gossip,
--- a/src/serving/peers/discover.rs
+++ b/src/serving/peers/discover.rs
@@ -54,6 +54,7 @@
         gossip: node.gossip_address,
         calls: node.peer_address,
         zone: node.settings.zone.clone(),
+        cores: node.settings.cores,
     };
     let value = serde_json::to_vec(&registration).unwrap_or_default();
     let row = (
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -17,7 +17,8 @@
 use tokio::sync::Notify;
 
 use super::Node;
-use super::feed::Freshness;
+use super::settings::Settings;
+use crate::coordination::reader::{self, Candidate};
 use crate::protocol::digest::{Body, Digest, Holding, State};
 use crate::state::record::Name;
 
@@ -27,14 +28,18 @@
 /// Silence after which a daemon's share of fleet-wide limits goes to the others.
 const LOST_AFTER: Duration = Duration::from_secs(16);
 
-/// Time for which a peer may have a newer table version than this daemon before its feed is polled again.
+/// Time for which a peer may have a newer table version than this daemon before its feed is polled again, in a small
+/// fleet; it grows with the pauses between reads.
 const MAX_LAG: Duration = Duration::from_millis(350);
 
+/// Longest time for which a peer may have a newer table version.
+const LONGEST_LAG: Duration = Duration::from_millis(2500);
+
 /// Silence after which a daemon is no longer counted as live, nor as the placer.
 pub const PLACER_SILENCE: Duration = Duration::from_millis(1300);
 
 /// Row with which a daemon registers in the store.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
 pub struct Registration {
     /// Address for gossip datagrams.
     pub gossip: SocketAddr,
@@ -42,6 +47,9 @@
     pub calls: SocketAddr,
     /// Availability zone.
     pub zone: Name,
+    /// Processor time of the instance, in cores.
+    #[serde(default)]
+    pub cores: f64,
 }
 
 #[derive(Debug)]
@@ -121,6 +129,33 @@
         alive.count()
     }
 
+    /// Names of the daemons that read the store for this daemon's zone, best first.
+    pub fn readers(&self, own: &Settings, now: Duration) -> Vec<Name> {
+        let inner = self.inner.lock();
+        let zone = inner.iter().filter(|(_, peer)| {
+            peer.registration.zone == own.zone
+                && !peer.state.leaving
+                && peer.last_heard + LOST_AFTER > now
+        });
+        let mut zone: Vec<Candidate> = zone
+            .map(|(name, peer)| Candidate {
+                name: name.clone(),
+                cores: peer.registration.cores,
+            })
+            .collect();
+        zone.push(Candidate {
+            name: own.name.clone(),
+            cores: own.cores,
+        });
+        reader::readers(zone)
+    }
+
+    /// Address for RPC calls of a peer.
+    pub fn call_address(&self, name: &str) -> Option<SocketAddr> {
+        let inner = self.inner.lock();
+        inner.get(name).map(|peer| peer.registration.calls)
+    }
+
     /// Names of the daemons that have been silent for twice the time after which they lose their shares.
     pub fn lost(&self, now: Duration) -> Vec<Name> {
         let inner = self.inner.lock();
@@ -179,28 +214,37 @@
 
 /// Tracks how long peers have had a newer version of a table than this daemon.
 #[derive(Debug, Default)]
-struct Lag {
-    since: Option<Duration>,
-    requested: u64,
+pub struct Lag {
+    /// Newest version that a peer reported and this daemon did not have, and when that was first seen.
+    behind: Option<(u64, Duration)>,
 }
 
 impl Lag {
-    /// Triggers a new poll of the feed once per version that peers have been ahead with for [`MAX_LAG`].
-    fn observe(
+    /// Whether this daemon still lacks a version that a peer had more than `max_lag` ago; reports each such version once.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::serving::peers::Lag;
+    /// let second = Duration::from_secs(1);
+    /// let mut lag = Lag::default();
+    /// assert!(!lag.observe((4, 7), second, Duration::ZERO));
+    /// // The version has arrived in the meantime; the next one is new.
+    /// assert!(!lag.observe((7, 9), second, second * 2));
+    /// assert!(lag.observe((7, 12), second, second * 3));
+    /// ```
+    pub fn observe(
         &mut self,
         (own_version, peer_version): (u64, u64),
-        feed: &Freshness,
+        max_lag: Duration,
         now: Duration,
-    ) {
-        if peer_version <= own_version.max(self.requested) {
-            return;
-        }
-        let since = *self.since.get_or_insert(now);
-        if since + MAX_LAG <= now {
-            self.requested = peer_version;
-            self.since = None;
-            feed.nudge.notify_one();
+    ) -> bool {
+        let behind = self.behind.filter(|(version, _)| *version > own_version);
+        self.behind = behind.or((peer_version > own_version).then_some((peer_version, now)));
+        let is_late = self.behind.is_some_and(|(_, since)| since + max_lag <= now);
+        if is_late {
+            self.behind = None;
         }
+        is_late
     }
 }
 
--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Registration, apply_holdings, send, source};
+use super::{LONGEST_LAG, MAX_LAG, Registration, apply_holdings, send, source};
 use crate::protocol::digest::{Body, Digest, State};
 use crate::serving::Node;
 use crate::state::record::Name;
@@ -134,16 +134,24 @@
     if state.catalog > version && (feed_stale || catalog.is_none()) {
         tokio::spawn(source::fetch(node.clone(), registration.calls, version));
     }
-    if !feed_stale {
-        node.peers.operator_lag.lock().observe(
+    if feed_stale {
+        return;
+    }
+    let max_lag = (MAX_LAG * node.peers.interval_factor()).min(LONGEST_LAG);
+    for (versions, lag, feed) in [
+        (
             (operator, state.operator),
+            &node.peers.operator_lag,
             &node.operator_feed,
-            now,
-        );
-        node.peers.endpoints_lag.lock().observe(
+        ),
+        (
             (endpoints, state.endpoints),
+            &node.peers.endpoints_lag,
             &node.endpoint_feed,
-            now,
-        );
+        ),
+    ] {
+        if lag.lock().observe(versions, max_lag, now) {
+            feed.nudge.notify_one();
+        }
     }
 }
--- a/src/serving/peers/source.rs
+++ b/src/serving/peers/source.rs
@@ -1,4 +1,5 @@
-//! Fetches the active configuration from a peer while the store is unavailable to this daemon, and serves it to peers.
+//! Reads of tables through peers: changes from a daemon that reads the store, and the active configuration while the
+//! store is unavailable to this daemon.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
@@ -6,19 +7,36 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
 use jsonrpsee::server::RpcModule;
 use jsonrpsee::types::ErrorObjectOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::serving::Node;
+use crate::serving::feed::{self, Table};
+use crate::state::mirror::Changes;
+use crate::state::record::Name;
 use crate::state::row::Row;
+use crate::transport::peer;
 
 /// Timeout of a call to a peer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time that a reader waits for a change before it answers.
+const FOLLOW_WAIT: Duration = Duration::from_millis(600);
+
+/// Timeout of a reader's answer, in addition to the time that it waits for a change.
+const FOLLOW_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Name of the RPC method that returns the active configuration.
 const CATALOG_METHOD: &str = "catalog";
 
+/// Name of the RPC method that returns the changes of a table.
+const FOLLOW_METHOD: &str = "follow";
+
+/// Error code of a daemon that does not read the store now.
+const NOT_READING: i32 = 1;
+
 /// The node, set once the listener's address is known.
 pub type Slot = Arc<OnceLock<Arc<Node>>>;
 
@@ -30,6 +48,79 @@
     text: String,
 }
 
+/// Response of the RPC method that returns the changes of a table.
+#[derive(Debug, Clone, Default, Deserialize, Serialize)]
+struct FollowResponse {
+    #[serde(rename = "v")]
+    version: u64,
+    #[serde(rename = "a", default, skip_serializing_if = "std::ops::Not::not")]
+    all: bool,
+    /// Time for which removals are to be deferred, in milliseconds.
+    #[serde(rename = "d", default)]
+    deferral_millis: u64,
+    /// Key, value in base64 unless the row was deleted, and version.
+    #[serde(rename = "r", default)]
+    rows: Vec<(Name, Option<String>, u64)>,
+}
+
+/// Reads the changes of a table after a version from a reader, which waits for the first one. Returns them and the time
+/// for which removals are to be deferred.
+///
+/// # Errors
+/// When the reader is unknown, does not answer, or does not read the store itself.
+pub async fn follow(
+    node: &Node,
+    reader: &Name,
+    table: Table,
+    after: u64,
+) -> Result<(Changes, Duration), feed::Error> {
+    let unknown = || feed::Error::UnknownReader(reader.clone());
+    let address = node.peers.call_address(reader).ok_or_else(unknown)?;
+    let (params, timeout) = ((table, after), FOLLOW_WAIT + FOLLOW_TIMEOUT);
+    let call = node
+        .calls
+        .call::<_, FollowResponse>(address, FOLLOW_METHOD, &params, timeout);
+    let response = match call.await {
+        Ok(response) => response,
+        Err(error) => {
+            if matches!(error, peer::Error::Timeout) {
+                // The connection may be dead without having been reset.
+                node.calls.reset(address);
+            }
+            return Err(feed::Error::Reader(error));
+        }
+    };
+    let name: Name = feed::table_name(node, table).into();
+    let rows = response.rows.into_iter().map(|(key, value, version)| Row {
+        table: name.clone(),
+        key,
+        value: value.and_then(|text| STANDARD.decode(text).ok().map(Bytes::from)),
+        version,
+    });
+    let changes = Changes {
+        rows: rows.collect(),
+        version: response.version,
+        all: response.all,
+    };
+    Ok((changes, Duration::from_millis(response.deferral_millis)))
+}
+
+async fn serve_follow(node: &Node, table: Table, after: u64) -> Option<FollowResponse> {
+    let name = feed::table_name(node, table);
+    let feed = feed::feed(node, table);
+    let (changes, deferral) = feed.follow(name, after, FOLLOW_WAIT, || node.now()).await?;
+    let rows = changes.rows.into_iter().map(|row| {
+        let value = row.value.map(|value| STANDARD.encode(value));
+        (row.key, value, row.version)
+    });
+    Some(FollowResponse {
+        version: changes.version,
+        all: changes.all,
+        deferral_millis: deferral.as_millis() as u64,
+        rows: rows.collect(),
+    })
+}
+
 /// Fetches the configuration from a peer if the peer has a newer version than `known`.
 pub async fn fetch(node: Arc<Node>, from: SocketAddr, known: u64) {
     let call = node
@@ -74,6 +165,17 @@
         };
         Ok::<CatalogResponse, ErrorObjectOwned>(CatalogResponse { version, text })
     });
+    let registered = registered.map(drop).and_then(|()| {
+        let method = module.register_async_method(FOLLOW_METHOD, |params, slot, _| async move {
+            let (table, after): (Table, u64) = params.one()?;
+            let not_reading =
+                || ErrorObjectOwned::owned(NOT_READING, "does not read the store", None::<()>);
+            let node = slot.get().ok_or_else(not_reading)?;
+            let response = serve_follow(node, table, after).await;
+            response.ok_or_else(not_reading)
+        });
+        method.map(drop)
+    });
     if let Err(error) = registered {
         spdlog::error!("peers: failed to register RPC method", kv: { error: = error });
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,6 +7,7 @@
 pub mod demand;
 pub mod document;
 pub mod member;
+pub mod mirror;
 pub mod record;
 pub mod registry;
 pub mod row;
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -155,6 +155,11 @@
             .fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
+    /// Drops the connection to a peer; calls in progress go on.
+    pub fn reset(&self, address: SocketAddr) {
+        self.clients.lock().remove(&address);
+    }
+
     async fn client(&self, address: SocketAddr) -> Result<Arc<WsClient>, Error> {
         let slot = self.clients.lock().entry(address).or_default().clone();
         let mut slot = slot.lock().await;
