Count copies once in a planning step

Cause: a step counted copies by scanning all engines for each pair of model and engine, and the planner's input was rebuilt for each step. A request whose deadline passed while its connection was opened is not sent any more.

--- a/src/serving/inventory.rs
+++ b/src/serving/inventory.rs
@@ -1,13 +1,14 @@
 //! State of the placer: engines, loads in progress and reported demand. Does no I/O.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use super::codec::Report;
 use super::endpoint::View;
 use super::engine::{Handle, State};
 use super::rate::Rate;
-use crate::coordination::replication::{self, Engine, MAX_LOAD_PER_COPY, Model, Planner};
+use crate::coordination::replication::adapters::{Copies, Placement, place_adapter};
+use crate::coordination::replication::{Engine, MAX_LOAD_PER_COPY, Model, Planner};
 use crate::protocol::digest::{Demand, Holding};
 use crate::state::catalog::Service;
 use crate::state::record::Name;
@@ -174,11 +175,14 @@
         let adapter_megabytes = adapters.fold(0.0, f64::max);
         let mut models = HashMap::new();
         let totals = self.totals(now);
+        let mut adapters_in_use: HashMap<&Name, usize> = HashMap::new();
+        for ((model, _), used) in &self.adapter_uses {
+            if *used + ADAPTER_IN_USE_TIME > now {
+                *adapters_in_use.entry(model).or_default() += 1;
+            }
+        }
         for (name, model) in &engine.models {
-            let uses = self.adapter_uses.iter();
-            let in_use =
-                uses.filter(|((of, _), used)| of == name && **used + ADAPTER_IN_USE_TIME > now);
-            let adapters = in_use.count();
+            let adapters = adapters_in_use.get(name).copied().unwrap_or_default();
             let rates = self.rates.get_mut(name);
             let (prompt_rate, output_rate) = rates.map_or((0.0, 0.0), |(prompt, output)| {
                 (
@@ -199,10 +203,8 @@
             };
             models.insert(name.clone(), model);
         }
-        let usable = view.services.get(&service.name);
-        let is_usable = |id: &Name| {
-            usable.is_some_and(|usable| usable.iter().any(|endpoint| endpoint.entry.id == *id))
-        };
+        let usable = view.services.get(&service.name).into_iter().flatten();
+        let usable: HashSet<&Name> = usable.map(|endpoint| &endpoint.entry.id).collect();
         let engines = self.engines.iter().filter_map(|(id, state)| {
             let endpoint = view.all.get(id)?;
             (endpoint.entry.service == service.name).then(|| Engine {
@@ -220,7 +222,7 @@
                     .collect(),
                 cached: state.cached.clone(),
                 busy: state.has_to_wait(now),
-                usable: is_usable(id),
+                usable: usable.contains(id),
             })
         });
         let loading = self
@@ -271,8 +273,21 @@
         self.store_loads.push_back(now);
     }
 
+    /// Number of engines that hold or load each adapter.
+    pub fn adapter_copies(&self, planner: &Planner) -> Copies {
+        let mut copies = Copies::count(&planner.engines);
+        for (model, adapter) in &self.pending {
+            copies.add(model, adapter);
+        }
+        copies
+    }
+
     /// Finds an adapter of a busy model to preload: engine that can hold another adapter, model and adapter.
-    pub fn next_preload(&self, planner: &Planner, service: &Service) -> Option<(Name, Name, Name)> {
+    pub fn next_preload(
+        planner: &Planner,
+        copies: &Copies,
+        service: &Service,
+    ) -> Option<(Name, Name, Name)> {
         let models = &service.engine.as_ref()?.models;
         let mut candidates: Vec<&Engine> = planner
             .engines
@@ -280,23 +295,22 @@
             .filter(|engine| engine.usable && !engine.busy && adapter_capacity_left(engine) > 0)
             .collect();
         candidates.sort_by_key(|engine| std::cmp::Reverse(adapter_capacity_left(engine)));
+        let mut is_busy: HashMap<&Name, bool> = HashMap::new();
         for engine in candidates {
-            let busy = engine.models.keys().filter(|model| {
-                let load = planner.models.get(*model).map_or(0.0, |model| model.load);
-                load > BUSY_LOAD || planner.copies(model) >= BUSY_COPIES
-            });
-            let options = busy.flat_map(|model| {
-                let adapters = models.get(model).map_or(&[][..], |model| &model.adapters);
-                adapters.iter().map(move |adapter| (model, adapter))
-            });
-            let copies = |model: &Name, adapter: &Name| {
-                let key = (model.clone(), adapter.clone());
-                let pending = self.pending.iter().filter(|pending| **pending == key);
-                replication::adapter_copies(&planner.engines, model, adapter) + pending.count()
-            };
+            let mut options = Vec::new();
+            for model in engine.models.keys() {
+                let busy = *is_busy.entry(model).or_insert_with(|| {
+                    let load = planner.models.get(model).map_or(0.0, |model| model.load);
+                    load > BUSY_LOAD || planner.copies(model) >= BUSY_COPIES
+                });
+                let adapters = models.get(model).filter(|_| busy);
+                let adapters = adapters.map_or(&[][..], |model| &model.adapters);
+                options.extend(adapters.iter().map(|adapter| (model, adapter)));
+            }
             let best = options
+                .into_iter()
                 .filter(|(model, adapter)| !engine.models[*model].contains_key(*adapter))
-                .map(|(model, adapter)| (copies(model, adapter), model, adapter))
+                .map(|(model, adapter)| (copies.get(model, adapter), model, adapter))
                 .filter(|(count, _, _)| *count < PRELOADED_COPIES)
                 .min();
             if let Some((_, model, adapter)) = best {
@@ -310,12 +324,13 @@
     pub fn place_adapter(
         &self,
         planner: &Planner,
+        copies: &Copies,
         wanted: &(Name, Name, Name),
         now: Duration,
-    ) -> Option<replication::Placement> {
+    ) -> Option<Placement> {
         let (model, adapter, zone) = wanted;
         let key = (model.clone(), adapter.clone());
-        let placement = replication::place_adapter(&planner.engines, model, adapter, zone, now)?;
+        let placement = place_adapter(&planner.engines, copies, model, adapter, zone, now)?;
         let state = self.engines.get(&placement.engine)?;
         (!state.unloading.contains(&key)).then_some(placement)
     }
--- a/src/serving/placer/plan.rs
+++ b/src/serving/placer/plan.rs
@@ -7,7 +7,6 @@
 use crate::coordination::leadership::Phase;
 use crate::coordination::replication::Planner;
 use crate::protocol::digest::Body;
-use crate::serving::endpoint::View;
 use crate::serving::engine::Handle;
 use crate::serving::inventory::Inventory;
 use crate::serving::{Node, peers};
@@ -43,8 +42,9 @@
         .values()
         .filter(|service| service.engine.is_some());
     for service in engines {
-        plan_adapters(node, &mut inventory, service, &view, now);
-        plan_models(node, &mut inventory, service, &view, now);
+        let mut planner = inventory.planner(&view, service, now);
+        plan_adapters(node, &mut inventory, &mut planner, service, now);
+        plan_models(node, &mut inventory, &mut planner, service, now);
     }
     inventory.wanted.clear();
 }
@@ -52,11 +52,11 @@
 fn plan_adapters(
     node: &Arc<Node>,
     inventory: &mut Inventory,
+    planner: &mut Planner,
     service: &Arc<Service>,
-    view: &View,
     now: Duration,
 ) {
-    let mut planner = inventory.planner(view, service, now);
+    let mut copies = inventory.adapter_copies(planner);
     let mut started = 0;
     for wanted in inventory.wanted.clone() {
         let (model, adapter, _) = &wanted;
@@ -64,20 +64,21 @@
         if inventory.pending.contains(&key) {
             continue;
         }
-        if let Some(holder) = inventory.holder(&planner, model, adapter) {
+        if let Some(holder) = inventory.holder(planner, model, adapter) {
             peers::broadcast(
                 node,
                 &Body::Held(inventory.holding(&holder).into_iter().collect()),
             );
             continue;
         }
-        let Some(placement) = inventory.place_adapter(&planner, &wanted, now) else {
+        let Some(placement) = inventory.place_adapter(planner, &copies, &wanted, now) else {
             continue;
         };
-        let Some(handle) = mark_busy(inventory, &mut planner, &placement.engine) else {
+        let Some(handle) = mark_busy(inventory, planner, &placement.engine) else {
             continue;
         };
         inventory.pending.push(key.clone());
+        copies.add(model, adapter);
         tokio::spawn(change::replace_adapter(
             node.clone(),
             handle,
@@ -87,12 +88,14 @@
         started += 1;
     }
     while started < MAX_ADAPTER_ORDERS {
-        let Some((engine, model, adapter)) = inventory.next_preload(&planner, service) else {
+        let preload = Inventory::next_preload(planner, &copies, service);
+        let Some((engine, model, adapter)) = preload else {
             return;
         };
-        let Some(handle) = mark_busy(inventory, &mut planner, &engine) else {
+        let Some(handle) = mark_busy(inventory, planner, &engine) else {
             return;
         };
+        copies.add(&model, &adapter);
         let wanted = (model, adapter);
         tokio::spawn(change::replace_adapter(node.clone(), handle, None, wanted));
         started += 1;
@@ -102,15 +105,14 @@
 fn plan_models(
     node: &Arc<Node>,
     inventory: &mut Inventory,
+    planner: &mut Planner,
     service: &Arc<Service>,
-    view: &View,
     now: Duration,
 ) {
     let Some(engine) = &service.engine else {
         return;
     };
     loop {
-        let mut planner = inventory.planner(view, service, now);
         let window = node.tuning.load().load_window;
         let may_load = inventory.may_load(engine.loads_per_second, window, now);
         let may_load_spare = inventory.may_load_spare(engine.loads_per_second, window);
@@ -120,12 +122,13 @@
         if step.from_store {
             inventory.note_load(now);
         }
-        let Some(handle) = mark_busy(inventory, &mut planner, &step.engine) else {
+        let Some(handle) = mark_busy(inventory, planner, &step.engine) else {
             return;
         };
         if let Some(state) = inventory.engine_mut(&handle) {
             state.models.retain(|model, _| !step.unload.contains(model));
         }
+        planner.start(&step);
         let loading = (step.engine.clone(), step.load.clone(), step.from_store);
         inventory.loading.push(loading);
         let expected = match (step.from_store, engine.models.get(&step.load)) {
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -131,6 +131,10 @@
         let Some(mut connection) = self.connect(choice).await else {
             return Outcome::Unsent;
         };
+        if self.remaining() < MIN_REMAINING {
+            // The deadline has passed while the connection was opened, or while this process did not run.
+            return Outcome::Unsent;
+        }
         let request = (node.codec.dispatch)(&self.call, &self.dispatch(choice, resume_after));
         let sent_at = node.now();
         let head_timeout = self.head_timeout();
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -3,9 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use persimmoncroft::coordination::replication::{
-    Engine, Model, Planner, Step, adapter_copies, place_adapter,
-};
+use persimmoncroft::coordination::replication::adapters::{Copies, place_adapter};
+use persimmoncroft::coordination::replication::{Engine, Model, Planner, Step};
 use persimmoncroft::state::record::Name;
 use quickcheck::quickcheck;
 
@@ -230,12 +229,14 @@
     );
     far.models.insert("m".into(), held(&[("a6", 50)]));
     let engines = vec![near, far];
-    let found = place_adapter(&engines, "m", "a9", "b", now).expect("an engine is found");
+    let found = place_adapter(&engines, &Copies::count(&engines), "m", "a9", "b", now)
+        .expect("an engine is found");
     assert_eq!((&*found.engine, found.evicted), ("e1", None));
-    let found = place_adapter(&engines, "m", "a9", "a", now).expect("an engine is found");
+    let found = place_adapter(&engines, &Copies::count(&engines), "m", "a9", "a", now)
+        .expect("an engine is found");
     assert_eq!(&*found.engine, "e0");
     assert_eq!(found.evicted, Some(("m".into(), "a1".into())));
-    assert_eq!(adapter_copies(&engines, "m", "a6"), 1);
+    assert_eq!(Copies::count(&engines).get("m", "a6"), 1);
 
     // Adapters in use are evicted last: an engine in another zone with an idle adapter is preferred, and an idle
     // adapter is evicted before one in use that has another copy.
@@ -245,8 +246,10 @@
     let idle = held(&[("a1", 99), ("a6", 99), ("a7", 60), ("a8", 98), ("a9", 98)]);
     near.models.insert("m".into(), busy);
     far.models.insert("m".into(), idle);
-    let found = place_adapter(&[near, far], "m", "b1", "a", now).expect("an engine is found");
+    let both = [near, far];
+    let found = place_adapter(&both, &Copies::count(&both), "m", "b1", "a", now)
+        .expect("an engine is found");
     assert_eq!(&*found.engine, "e1");
     assert_eq!(found.evicted, Some(("m".into(), "a7".into())));
-    assert!(place_adapter(&engines, "other", "a9", "a", now).is_none());
+    assert!(place_adapter(&engines, &Copies::count(&engines), "other", "a9", "a", now).is_none());
 }
