Load weights side by side as far as the store keeps its speed, collect holdings

Cause: at most five loads ran at once where the large site's weight store takes 29 at full speed; each change of an engine was sent to 294 daemons by itself. Change: concurrent loads from the rate and the load time; changes within up to 36 ms share a message in a large fleet. Test: loads_run_side_by_side_as_far_as_the_weight_store_keeps_its_speed.

--- a/src/serving/inventory.rs
+++ b/src/serving/inventory.rs
@@ -10,7 +10,7 @@
 use crate::coordination::replication::adapters::{Copies, Placement, place_adapter};
 use crate::coordination::replication::{Engine, MAX_LOAD_PER_COPY, Model, Planner};
 use crate::protocol::digest::{Demand, Holding};
-use crate::state::catalog::Service;
+use crate::state::catalog::{self, Service};
 use crate::state::record::Name;
 
 /// Time for which a loaded model is not evicted, unless another model has no copy at all.
@@ -37,14 +37,17 @@
 /// Number of copies from which a model counts as busy without known demand.
 const BUSY_COPIES: usize = 3;
 
-/// Maximum number of concurrent loads from the weight store.
-const MAX_STORE_LOADS: usize = 5;
+/// Number of concurrent loads from the weight store that every store can take.
+const MIN_CONCURRENT_LOADS: usize = 5;
+
+/// Concurrent loads as a share of those that the store starts during one load; beyond all of them, loads slow down.
+const CONCURRENT_LOADS_SHARE: f64 = 0.85;
 
 /// Share of the loads per window that spare copies may use.
 const SPARE_LOAD_SHARE: f64 = 0.5;
 
-/// Number of concurrent loads from the weight store at which no spare load is started.
-const SPARE_MAX_STORE_LOADS: usize = 2;
+/// Concurrent loads from the weight store beyond which no spare load is started, as a divisor of all that may run.
+const SPARE_LOADS_DIVISOR: usize = 2;
 
 /// Loads that the previous lease holder is assumed to have started within the window.
 const ASSUMED_PRIOR_LOADS: usize = 4;
@@ -248,7 +251,7 @@
     }
 
     /// Whether another load from the weight store may start now.
-    pub fn may_load(&mut self, per_second: f64, window: Duration, now: Duration) -> bool {
+    pub fn may_load(&mut self, engine: &catalog::Engine, window: Duration, now: Duration) -> bool {
         while self
             .store_loads
             .front()
@@ -256,16 +259,20 @@
         {
             self.store_loads.pop_front();
         }
-        let in_progress = self.loading.iter().filter(|(_, _, from_store)| *from_store);
-        let max_loads = (per_second * window.as_secs_f64()).floor() as usize;
-        self.store_loads.len() < max_loads && in_progress.count() < MAX_STORE_LOADS
+        let max_loads = (engine.loads_per_second * window.as_secs_f64()).floor() as usize;
+        self.store_loads.len() < max_loads && self.running_loads() < max_concurrent_loads(engine)
     }
 
     /// Whether recent loads from the weight store are so few that a spare copy leaves room for needed ones.
-    pub fn may_load_spare(&self, per_second: f64, window: Duration) -> bool {
-        let in_progress = self.loading.iter().filter(|(_, _, from_store)| *from_store);
-        let max_loads = per_second * window.as_secs_f64() * SPARE_LOAD_SHARE;
-        (self.store_loads.len() as f64) < max_loads && in_progress.count() < SPARE_MAX_STORE_LOADS
+    pub fn may_load_spare(&self, engine: &catalog::Engine, window: Duration) -> bool {
+        let max_loads = engine.loads_per_second * window.as_secs_f64() * SPARE_LOAD_SHARE;
+        let max_running = max_concurrent_loads(engine) / SPARE_LOADS_DIVISOR;
+        (self.store_loads.len() as f64) < max_loads && self.running_loads() < max_running
+    }
+
+    fn running_loads(&self) -> usize {
+        let loading = self.loading.iter();
+        loading.filter(|(_, _, from_store)| *from_store).count()
     }
 
     /// Records the start of a load from the weight store.
@@ -355,6 +362,14 @@
     }
 }
 
+/// Loads from the weight store that may run at the same time.
+fn max_concurrent_loads(engine: &catalog::Engine) -> usize {
+    let load_times = engine.models.values().map(|model| model.load_time);
+    let longest = load_times.max().unwrap_or_default().as_secs_f64();
+    let at_full_speed = engine.loads_per_second * longest * CONCURRENT_LOADS_SHARE;
+    (at_full_speed as usize).max(MIN_CONCURRENT_LOADS)
+}
+
 fn adapter_capacity_left(engine: &Engine) -> usize {
     let held: usize = engine.models.values().map(BTreeMap::len).sum();
     engine.max_adapters.saturating_sub(held)
--- a/src/serving/placer/change.rs
+++ b/src/serving/placer/change.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 
 use super::order::{RESEND_DELAY, fetch_report, resync, send_order};
-use super::{broadcast_holdings, finish_change, release_engine};
+use super::{announce, finish_change, release_engine};
 use crate::coordination::replication::Step;
 use crate::serving::Node;
 use crate::serving::codec::{self, Operation, Report};
@@ -96,14 +96,11 @@
 }
 
 fn remove_adapter(node: &Node, handle: &Handle, model: &Name, adapter: &Name) {
-    let holding = {
-        let mut inventory = node.placer.inventory.lock();
-        if let Some(state) = inventory.engine_mut(handle) {
-            state.remove(model, adapter);
-        }
-        inventory.holding(&handle.engine)
-    };
-    broadcast_holdings(node, holding.into_iter().collect());
+    let mut inventory = node.placer.inventory.lock();
+    if let Some(state) = inventory.engine_mut(handle) {
+        state.remove(model, adapter);
+    }
+    announce(node, &inventory, &handle.engine);
 }
 
 /// Reads reports until the adapters that an engine was ordered to unload are gone.
@@ -140,8 +137,7 @@
 pub async fn replace_models(node: Arc<Node>, handle: Handle, step: Step, expected: Duration) {
     let id = &handle.engine;
     if !step.unload.is_empty() {
-        let holding = node.placer.inventory.lock().holding(id);
-        broadcast_holdings(&node, holding.into_iter().collect());
+        announce(&node, &node.placer.inventory.lock(), id);
         sleep(UNLOAD_NOTICE).await;
     }
     for model in &step.unload {
--- a/src/serving/placer/mod.rs
+++ b/src/serving/placer/mod.rs
@@ -5,6 +5,7 @@
 mod order;
 mod plan;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,12 +36,18 @@
 /// Maximum number of engines in one message.
 const MAX_ENGINES_PER_MESSAGE: usize = 12;
 
+/// Time for which changes are collected into one message, for each step by which heartbeats are rarer in a large fleet.
+const COLLECT_TIME: Duration = Duration::from_millis(2);
+
 /// Placement state of this daemon.
 #[derive(Debug)]
 pub struct Placer {
     leadership: Mutex<Leadership>,
     inventory: Mutex<Inventory>,
     wake: Notify,
+    /// Engines whose models or adapters have changed since the last message.
+    changed: Mutex<BTreeSet<Name>>,
+    change: Notify,
 }
 
 impl Placer {
@@ -50,6 +57,8 @@
             leadership: Mutex::new(Leadership::open(lease * TERM_TENTHS / 10)),
             inventory: Mutex::default(),
             wake: Notify::default(),
+            changed: Mutex::default(),
+            change: Notify::default(),
         }
     }
 
@@ -120,26 +129,48 @@
                 }
             }
         };
-        tokio::join!(maintain, plan);
+        tokio::join!(maintain, plan, broadcast_changes(&node));
     };
     node.until_stopped(task).await;
 }
 
 fn broadcast_all_holdings(node: &Node) {
+    let engines: Vec<Name> = {
+        let inventory = node.placer.inventory.lock();
+        inventory.engines.keys().cloned().collect()
+    };
+    broadcast_holdings(node, &engines);
+}
+
+/// Broadcasts what engines hold.
+fn broadcast_holdings(node: &Node, engines: &[Name]) {
     let holdings: Vec<Holding> = {
         let inventory = node.placer.inventory.lock();
-        let ids = inventory.engines.keys();
-        ids.filter_map(|id| inventory.holding(id)).collect()
+        let holdings = engines.iter().filter_map(|id| inventory.holding(id));
+        holdings.collect()
     };
     for part in holdings.chunks(MAX_ENGINES_PER_MESSAGE) {
-        broadcast_holdings(node, part.to_vec());
+        peers::broadcast(node, &Body::Held(part.to_vec()));
+    }
+}
+
+/// Broadcasts changes of what engines hold; those that follow each other closely share a message.
+async fn broadcast_changes(node: &Node) {
+    loop {
+        node.placer.change.notified().await;
+        sleep(COLLECT_TIME * (node.peers.interval_factor() - 1)).await;
+        let changed = std::mem::take(&mut *node.placer.changed.lock());
+        let engines: Vec<Name> = changed.into_iter().collect();
+        broadcast_holdings(node, &engines);
     }
 }
 
-/// Broadcasts what engines hold to all daemons, including this one.
-fn broadcast_holdings(node: &Node, holdings: Vec<Holding>) {
-    peers::apply_holdings(node, holdings.clone(), node.now());
-    peers::broadcast(node, &Body::Held(holdings));
+/// Puts what an engine holds in force here, and has it broadcast.
+fn announce(node: &Node, inventory: &Inventory, engine: &Name) {
+    let holding = inventory.holding(engine);
+    peers::apply_holdings(node, holding.into_iter().collect(), node.now());
+    node.placer.changed.lock().insert(engine.clone());
+    node.placer.change.notify_one();
 }
 
 /// Ends a change to an engine's models: releases the engine for the next one and broadcasts what it holds.
@@ -157,17 +188,15 @@
 /// Releases an engine for its next order, after a delay if something failed, and broadcasts what it holds; does nothing
 /// if the state that the change belongs to was dropped.
 fn release_engine(node: &Node, handle: &Handle, back_off: bool) {
-    let holding = {
-        let mut inventory = node.placer.inventory.lock();
-        let Some(state) = inventory.engine_mut(handle) else {
-            return;
-        };
-        state.busy = false;
-        if back_off {
-            state.paused_until = node.now() + REFUSAL_BACKOFF;
-        }
-        inventory.holding(&handle.engine)
+    let mut inventory = node.placer.inventory.lock();
+    let Some(state) = inventory.engine_mut(handle) else {
+        return;
     };
-    broadcast_holdings(node, holding.into_iter().collect());
+    state.busy = false;
+    if back_off {
+        state.paused_until = node.now() + REFUSAL_BACKOFF;
+    }
+    announce(node, &inventory, &handle.engine);
+    drop(inventory);
     node.placer.wake.notify_one();
 }
--- a/src/serving/placer/plan.rs
+++ b/src/serving/placer/plan.rs
@@ -3,13 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{change, order};
+use super::{announce, change, order};
 use crate::coordination::leadership::Phase;
 use crate::coordination::replication::Planner;
-use crate::protocol::digest::Body;
+use crate::serving::Node;
 use crate::serving::engine::Handle;
 use crate::serving::inventory::Inventory;
-use crate::serving::{Node, peers};
 use crate::state::catalog::Service;
 use crate::state::record::Name;
 
@@ -65,10 +64,7 @@
             continue;
         }
         if let Some(holder) = inventory.holder(planner, model, adapter) {
-            peers::broadcast(
-                node,
-                &Body::Held(inventory.holding(&holder).into_iter().collect()),
-            );
+            announce(node, inventory, &holder);
             continue;
         }
         let Some(placement) = inventory.place_adapter(planner, &copies, &wanted, now) else {
@@ -114,8 +110,8 @@
     };
     loop {
         let window = node.tuning.load().load_window;
-        let may_load = inventory.may_load(engine.loads_per_second, window, now);
-        let may_load_spare = inventory.may_load_spare(engine.loads_per_second, window);
+        let may_load = inventory.may_load(engine, window, now);
+        let may_load_spare = inventory.may_load_spare(engine, window);
         let Some(step) = planner.step(may_load, may_load_spare) else {
             return;
         };
--- a/tests/reader.rs
+++ b/tests/reader.rs
@@ -132,7 +132,7 @@
         store.apply(&Changes { rows: Vec::new(), version: 1, all: true });
         let mut readers = [Mirror::default(), Mirror::default()];
         let (mut follower, mut version, mut store_version) = (Mirror::default(), 0, 1);
-        let mut read = |reader: &mut Mirror, store: &Mirror| {
+        let read = |reader: &mut Mirror, store: &Mirror| {
             let changes = store.changes_after(TABLE, reader.version());
             reader.apply(&changes);
         };
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -328,3 +328,35 @@
     let last = 2000.0 * 7.0 / 0.4 / 38_000.0;
     assert!(rising_load > last * 0.8, "{rising_load} of {last}");
 }
+
+/// Pattern: demand moves to many other models at once; the weight store is used as far as it does not slow down.
+#[test]
+fn loads_run_side_by_side_as_far_as_the_weight_store_keeps_its_speed() {
+    let (_, services) = fleet();
+    let mut engine = services["models"].engine.clone().unwrap();
+    let window = Duration::from_secs(5);
+    // Loads a second, load time and number at full speed of the users' sites.
+    for (per_second, load_time, at_full_speed) in [
+        (1.8, 4200, 6),
+        (10.0, 1200, 12),
+        (10.0, 4200, 37),
+        (24.0, 1200, 29),
+    ] {
+        engine.loads_per_second = per_second;
+        for model in engine.models.values_mut() {
+            model.load_time = Duration::from_millis(load_time);
+        }
+        let mut inventory = Inventory::default();
+        while inventory.may_load(&engine, window, Duration::ZERO) {
+            let number = inventory.loading.len();
+            let engine_id = format!("e{number}").into();
+            inventory.loading.push((engine_id, "m1".into(), true));
+        }
+        let running = inventory.loading.len();
+        assert!(running <= at_full_speed, "{running} of {at_full_speed}");
+        assert!(
+            running * 4 >= at_full_speed * 3,
+            "{running} of {at_full_speed}"
+        );
+    }
+}
