Let daemons introduce themselves in heartbeats

Change: the first heartbeat, and each to the whole fleet, carries the registration. A start under an earlier time of day is heard once its predecessor has been silent for 3 s; it was ignored for good before.

--- a/src/protocol/digest.rs
+++ b/src/protocol/digest.rs
@@ -1,6 +1,7 @@
 //! Datagram messages between the daemons of a platform fleet.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
@@ -83,6 +84,20 @@
     pub wait_millis: u64,
 }
 
+/// Addresses and instance of a daemon, as registered in the store.
+#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+pub struct Registration {
+    /// Address for gossip datagrams.
+    pub gossip: SocketAddr,
+    /// Address for RPC calls.
+    pub calls: SocketAddr,
+    /// Availability zone.
+    pub zone: Name,
+    /// Processor time of the instance, in cores.
+    #[serde(default)]
+    pub cores: f64,
+}
+
 /// State of a daemon.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize, Serialize)]
 pub struct State {
@@ -107,6 +122,9 @@
     /// Fencing token of the placement lease, if the sender holds it.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub placing: Option<u64>,
+    /// Registration of the sender, for receivers that have not read it from the store; not in every message.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub registration: Option<Registration>,
     /// Whether the sender is shutting down.
     #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
     pub leaving: bool,
--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -36,6 +36,9 @@
 /// Maximum pause after a change; a third of the time within which a change must be in force.
 const MAX_CHANGE_PAUSE: Duration = Duration::from_millis(1000);
 
+/// Time after its start in which a daemon learns of its peers.
+const STARTUP: Duration = Duration::from_millis(1000);
+
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -203,7 +206,10 @@
                     });
                 }
                 version = Some(changes.version.max(version.unwrap_or_default()));
-                if source == Source::Store && !changes.rows.is_empty() {
+                if changes.all && node.now() < STARTUP {
+                    // Until the peers are known, every daemon would take itself for a reader.
+                    sleep(STARTUP).await;
+                } else if source == Source::Store && !changes.rows.is_empty() {
                     sleep((CHANGE_PAUSE * node.peers.interval_factor()).min(MAX_CHANGE_PAUSE))
                         .await;
                 }
--- a/src/serving/peers/discover.rs
+++ b/src/serving/peers/discover.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use tokio::time::sleep;
 
-use super::{LOST_AFTER, Peer, Registration};
-use crate::protocol::digest::State;
+use super::{LOST_AFTER, Peer, Peers};
+use crate::protocol::digest::Registration;
 use crate::serving::{Node, feed, jitter};
 use crate::state::row::{Change, Row};
 use crate::transport::exchange::Channel;
@@ -19,7 +19,10 @@
 /// Interval between reads of the daemons' table in a small fleet.
 const LIST_INTERVAL: Duration = Duration::from_secs(15);
 
-/// Minimum interval between reads when unknown daemons send messages.
+/// Pause after a failed registration; a part of the store takes some hundred writes a second.
+const REGISTER_PAUSE: Duration = Duration::from_secs(1);
+
+/// Minimum interval between reads in a small fleet when unknown daemons send messages.
 const MIN_LIST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Registers this daemon and keeps the list of peers up to date until the daemon stops.
@@ -42,7 +45,9 @@
             let interval = jitter(LIST_INTERVAL * node.peers.interval_factor());
             tokio::select! {
                 () = sleep(interval) => {}
-                () = node.peers.unknown_sender.notified() => sleep(MIN_LIST_INTERVAL).await,
+                () = node.peers.unknown_sender.notified() => {
+                    sleep(jitter(MIN_LIST_INTERVAL * node.peers.interval_factor())).await;
+                }
             }
         }
     };
@@ -50,12 +55,7 @@
 }
 
 async fn register(node: &Node, channel: &Channel) {
-    let registration = Registration {
-        gossip: node.gossip_address,
-        calls: node.peer_address,
-        zone: node.settings.zone.clone(),
-        cores: node.settings.cores,
-    };
+    let registration = Peers::registration(node);
     let value = serde_json::to_vec(&registration).unwrap_or_default();
     let row = (
         DAEMON_TABLE.into(),
@@ -69,7 +69,7 @@
     while let Err(error) = node.commit(channel, &change).await {
         node.journal
             .line(|| spdlog::info!("peers: cannot register", kv: { error: = error }));
-        sleep(jitter(MIN_LIST_INTERVAL)).await;
+        sleep(jitter(REGISTER_PAUSE)).await;
     }
 }
 
@@ -91,13 +91,9 @@
                 continue;
             };
             listed.push(row.key.clone());
-            let peer = inner.entry(row.key.clone()).or_insert_with(|| Peer {
-                registration: registration.clone(),
-                session: 0,
-                sequence: 0,
-                last_heard: now,
-                state: State::default(),
-            });
+            let peer = inner
+                .entry(row.key.clone())
+                .or_insert_with(|| Peer::open(registration.clone(), now));
             peer.registration = registration;
         }
         inner.retain(|name, peer| listed.contains(name) || peer.last_heard + LOST_AFTER > now);
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -13,7 +13,6 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -21,7 +20,7 @@
 use super::settings::Settings;
 use crate::coordination::reader::{self, Candidate};
 use crate::coordination::rendezvous;
-use crate::protocol::digest::{Body, Digest, Holding, State};
+use crate::protocol::digest::{Body, Digest, Holding, Registration, State};
 use crate::state::record::Name;
 
 /// Interval between heartbeats to a peer in a small fleet or zone.
@@ -43,23 +42,12 @@
 /// Longest time for which a peer may have a newer table version.
 const LONGEST_LAG: Duration = Duration::from_millis(2500);
 
+/// Silence of a process after which messages of a start with an earlier time are accepted.
+const SESSION_SILENCE: Duration = Duration::from_secs(3);
+
 /// Silence after which a daemon is no longer counted as live, nor as the placer.
 pub const PLACER_SILENCE: Duration = Duration::from_millis(1300);
 
-/// Row with which a daemon registers in the store.
-#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
-pub struct Registration {
-    /// Address for gossip datagrams.
-    pub gossip: SocketAddr,
-    /// Address for RPC calls.
-    pub calls: SocketAddr,
-    /// Availability zone.
-    pub zone: Name,
-    /// Processor time of the instance, in cores.
-    #[serde(default)]
-    pub cores: f64,
-}
-
 #[derive(Debug)]
 struct Peer {
     registration: Registration,
@@ -69,6 +57,29 @@
     state: State,
 }
 
+impl Peer {
+    /// Creates a peer that has not been heard yet.
+    fn open(registration: Registration, now: Duration) -> Self {
+        Self {
+            registration,
+            session: 0,
+            sequence: 0,
+            last_heard: now,
+            state: State::default(),
+        }
+    }
+
+    /// Whether a message was sent before the last one received. A start under an earlier time of day, after a step of
+    /// the clock, is accepted once the earlier process has been silent.
+    fn is_outdated(&self, digest: &Digest, now: Duration) -> bool {
+        match digest.session.cmp(&self.session) {
+            std::cmp::Ordering::Less => now < self.last_heard + SESSION_SILENCE,
+            std::cmp::Ordering::Equal => digest.sequence <= self.sequence,
+            std::cmp::Ordering::Greater => false,
+        }
+    }
+}
+
 /// A daemon that holds a workspace's rate limit for its zone.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Home {
@@ -110,6 +121,16 @@
         }
     }
 
+    /// This daemon's registration.
+    fn registration(node: &Node) -> Registration {
+        Registration {
+            gossip: node.gossip_address,
+            calls: node.peer_address,
+            zone: node.settings.zone.clone(),
+            cores: node.settings.cores,
+        }
+    }
+
     /// Sorted names of the daemons that share fleet-wide limits, including this one.
     pub fn names(&self) -> Arc<Vec<Name>> {
         self.names.load_full()
--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -1,11 +1,12 @@
 //! Receives messages from peers.
 
 use std::collections::BTreeMap;
+use std::collections::hash_map::Entry;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{LONGEST_LAG, MAX_LAG, Registration, apply_holdings, send, source};
-use crate::protocol::digest::{Body, Digest, State};
+use super::{LONGEST_LAG, MAX_LAG, Peer, apply_holdings, send, source};
+use crate::protocol::digest::{Body, Digest, Registration, State};
 use crate::serving::Node;
 use crate::state::record::Name;
 use crate::transport::gossip::MAX_BYTES;
@@ -35,15 +36,25 @@
     let now = node.now();
     let (registration, before) = {
         let mut inner = node.peers.inner.lock();
-        let Some(peer) = inner.get_mut(&digest.daemon) else {
-            node.peers.unknown_sender.notify_one();
-            return;
+        let stated = match &digest.body {
+            Body::State(state) => state.registration.clone(),
+            _ => None,
+        };
+        let peer = match (inner.entry(digest.daemon.clone()), stated) {
+            (Entry::Occupied(known), stated) => {
+                let peer = known.into_mut();
+                if peer.is_outdated(&digest, now) {
+                    return;
+                }
+                peer.registration = stated.unwrap_or_else(|| peer.registration.clone());
+                peer
+            }
+            (Entry::Vacant(unknown), Some(stated)) => unknown.insert(Peer::open(stated, now)),
+            (Entry::Vacant(_), None) => {
+                node.peers.unknown_sender.notify_one();
+                return;
+            }
         };
-        let outdated = digest.session < peer.session
-            || (digest.session == peer.session && digest.sequence <= peer.sequence);
-        if outdated {
-            return;
-        }
         peer.session = digest.session;
         peer.sequence = digest.sequence;
         peer.last_heard = now;
--- a/src/serving/peers/sender.rs
+++ b/src/serving/peers/sender.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::{Instant, sleep_until};
 
-use super::{HEARTBEAT_INTERVAL, broadcast, broadcast_in_zone, send};
+use super::{HEARTBEAT_INTERVAL, Peers, broadcast, broadcast_in_zone, send};
 use crate::protocol::digest::{Body, State};
 use crate::serving::{Node, jitter};
 
@@ -13,7 +13,7 @@
 pub async fn run(node: Arc<Node>) {
     let task = async {
         let mut sent_at = Instant::now();
-        let mut sent_to_all_at = sent_at;
+        let mut sent_to_all_at = None;
         loop {
             // Every daemon watches the placer's heartbeats, so their interval doesn't grow with the fleet.
             let (zone_factor, factor) = match node.placer.is_holder(&node) {
@@ -32,9 +32,11 @@
                 }
             }
             sent_at = Instant::now();
-            let to_all = sent_at >= sent_to_all_at + HEARTBEAT_INTERVAL * factor * 4 / 5;
+            // The first heartbeat after the peers were listed introduces this daemon.
+            let is_due = |last| sent_at >= last + HEARTBEAT_INTERVAL * factor * 4 / 5;
+            let to_all = node.peers.is_listed() && sent_to_all_at.is_none_or(is_due);
             if to_all {
-                sent_to_all_at = sent_at;
+                sent_to_all_at = Some(sent_at);
             }
             send_heartbeat(&node, to_all);
         }
@@ -62,7 +64,10 @@
     } else if let Some((_, address)) = node.peers.placer(now) {
         send(node, Body::Demand(demand), address);
     }
-    let state = Body::State(current_state(node));
+    let state = Body::State(State {
+        registration: to_all.then(|| Peers::registration(node)),
+        ..current_state(node)
+    });
     match to_all {
         true => broadcast(node, &state),
         false => broadcast_in_zone(node, &state),
@@ -86,6 +91,7 @@
         out,
         flights: in_flight.collect(),
         placing: node.placer.fence(node),
+        registration: None,
         leaving: node.leaving.is_cancelled(),
     }
 }
