--- a/src/serving/peers/discover.rs
+++ b/src/serving/peers/discover.rs
@@ -10,7 +10,7 @@
 use super::{LOST_AFTER, Peer, Peers};
 use crate::protocol::digest::Registration;
 use crate::serving::{Node, feed, jitter};
-use crate::state::row::{Change, Row};
+use crate::state::row::Change;
 use crate::transport::exchange::Channel;
 
 /// Table of the platform's store in which daemons register.
@@ -29,12 +29,14 @@
 pub async fn run(node: Arc<Node>) {
     let channel = Channel::open(node.settings.store_address);
     let task = async {
-        register(&node, &channel).await;
         loop {
-            match feed::list(&node, &channel, DAEMON_TABLE).await {
-                Ok(page) => {
-                    update_peers(&node, &channel, &page.rows).await;
-                    remove_lost_peers(&node, &channel).await;
+            match read_list(&node, &channel).await {
+                Ok(true) => remove_lost_peers(&node, &channel).await,
+                // Read again after the registration, since daemons that registered before do not know this one.
+                Ok(false) if register(&node, &channel).await => continue,
+                Ok(false) => {
+                    sleep(jitter(REGISTER_PAUSE)).await;
+                    continue;
                 }
                 Err(error) => {
                     node.journal.line(
@@ -42,9 +44,12 @@
                     );
                 }
             }
-            let interval = jitter(LIST_INTERVAL * node.peers.interval_factor());
+            let interval = match node.peers.is_listed() {
+                true => LIST_INTERVAL * node.peers.interval_factor(),
+                false => REGISTER_PAUSE,
+            };
             tokio::select! {
-                () = sleep(interval) => {}
+                () = sleep(jitter(interval)) => {}
                 () = node.peers.unknown_sender.notified() => {
                     sleep(jitter(MIN_LIST_INTERVAL * node.peers.interval_factor())).await;
                 }
@@ -54,9 +59,9 @@
     node.until_stopped(task).await;
 }
 
-async fn register(node: &Node, channel: &Channel) {
-    let registration = Peers::registration(node);
-    let value = serde_json::to_vec(&registration).unwrap_or_default();
+/// Writes this daemon's row; returns whether it was written.
+async fn register(node: &Node, channel: &Channel) -> bool {
+    let value = serde_json::to_vec(&Peers::registration(node)).unwrap_or_default();
     let row = (
         DAEMON_TABLE.into(),
         node.settings.name.clone(),
@@ -66,30 +71,33 @@
         write: vec![row],
         ..Change::default()
     };
-    while let Err(error) = node.commit(channel, &change).await {
+    let written = node.commit(channel, &change).await;
+    if let Err(error) = &written {
         node.journal
             .line(|| spdlog::info!("peers: cannot register", kv: { error: = error }));
-        sleep(jitter(REGISTER_PAUSE)).await;
     }
+    written.is_ok()
 }
 
-async fn update_peers(node: &Node, channel: &Channel, rows: &[Row]) {
+/// Reads the daemons' table; returns whether this daemon's row is there and up to date.
+async fn read_list(node: &Node, channel: &Channel) -> Result<bool, feed::Error> {
+    let page = feed::list(node, channel, DAEMON_TABLE).await?;
     let now = node.now();
-    let mut own_row = false;
+    let mut is_registered = false;
     {
         let mut inner = node.peers.inner.lock();
         let mut listed = Vec::new();
-        for row in rows {
+        for row in &page.rows {
             let Some(value) = &row.value else {
                 continue;
             };
-            if row.key == node.settings.name {
-                own_row = true;
-                continue;
-            }
             let Ok(registration) = serde_json::from_slice::<Registration>(value) else {
                 continue;
             };
+            if row.key == node.settings.name {
+                is_registered = registration == Peers::registration(node);
+                continue;
+            }
             listed.push(row.key.clone());
             let peer = inner
                 .entry(row.key.clone())
@@ -100,9 +108,7 @@
     }
     node.peers.update_names(&node.settings, now);
     node.peers.listed.store(true, Ordering::Relaxed);
-    if !own_row {
-        register(node, channel).await;
-    }
+    Ok(is_registered)
 }
 
 /// Removes the rows of daemons that have been silent for long; only the placer does so, for the whole fleet.
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -256,6 +256,22 @@
         lost.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Takes the requests in flight that silent peers reported last, since they ended with those processes or are
+    /// unknown.
+    fn take_flights_of_silent(&self, own: &Settings, now: Duration) -> Vec<BTreeMap<Name, u32>> {
+        let silence = self.home_silence(own);
+        let mut inner = self.inner.lock();
+        let silent = inner.values_mut().filter(|peer| {
+            let silence = match peer.registration.zone == own.zone {
+                true => silence,
+                false => LOST_AFTER,
+            };
+            peer.last_heard + silence <= now && !peer.state.flights.is_empty()
+        });
+        let flights = silent.map(|peer| std::mem::take(&mut peer.state.flights));
+        flights.collect()
+    }
+
     fn zone_addresses(&self, own: &Settings) -> Vec<SocketAddr> {
         let inner = self.inner.lock();
         let zone = inner
@@ -388,6 +404,20 @@
     }
 }
 
+/// Replaces a daemon's requests in flight, as counted at the endpoints.
+fn update_remote_in_flight(node: &Node, before: &BTreeMap<Name, u32>, after: &BTreeMap<Name, u32>) {
+    let view = node.fleet.view.load();
+    let added = after.keys().filter(|id| !before.contains_key(*id));
+    for id in before.keys().chain(added) {
+        let old_count = before.get(id).copied().unwrap_or_default();
+        let new_count = after.get(id).copied().unwrap_or_default();
+        if let Some(endpoint) = view.all.get(id).filter(|_| old_count != new_count) {
+            let tracker = &endpoint.tracker;
+            tracker.update_remote_in_flight(old_count, new_count);
+        }
+    }
+}
+
 /// Applies the placer's report of the models and adapters that engines hold.
 pub fn apply_holdings(node: &Node, holdings: Vec<Holding>, now: Duration) {
     for holding in holdings {
--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -1,14 +1,13 @@
 //! Receives messages from peers.
 
-use std::collections::BTreeMap;
 use std::collections::hash_map::Entry;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{LONGEST_LAG, MAX_LAG, Peer, apply_holdings, send, source};
-use crate::protocol::digest::{Body, Digest, Registration, State};
+use super::{LONGEST_LAG, MAX_LAG, Peer, apply_holdings, send, source, update_remote_in_flight};
+use crate::protocol::digest::{Ask, Body, Digest, Registration, State};
 use crate::serving::Node;
-use crate::state::record::Name;
 use crate::transport::gossip::MAX_BYTES;
 
 /// Time for which this daemon's feed may fail before it relies on what peers report.
@@ -20,7 +19,7 @@
         let mut buffer = vec![0; MAX_BYTES];
         loop {
             match node.gossip.receive::<Digest>(&mut buffer).await {
-                Ok((digest, _)) => handle(&node, digest),
+                Ok((digest, from)) => handle(&node, digest, from),
                 Err(error) => {
                     node.journal.line(
                         || spdlog::info!("peers: failed to receive message", kv: { error: = error }),
@@ -32,7 +31,7 @@
     node.until_stopped(task).await;
 }
 
-fn handle(node: &Arc<Node>, digest: Digest) {
+fn handle(node: &Arc<Node>, digest: Digest, from: SocketAddr) {
     let now = node.now();
     let (registration, before) = {
         let mut inner = node.peers.inner.lock();
@@ -51,6 +50,11 @@
             }
             (Entry::Vacant(unknown), Some(stated)) => unknown.insert(Peer::open(stated, now)),
             (Entry::Vacant(_), None) => {
+                // After a restart of the fleet, requests arrive before the list was read.
+                if let Body::Ask(ask) = &digest.body {
+                    drop(inner);
+                    answer_ask(node, ask, from);
+                }
                 node.peers.unknown_sender.notify_one();
                 return;
             }
@@ -71,11 +75,7 @@
             }
             catch_up(node, &state, &registration, now);
         }
-        Body::Ask(ask) => {
-            if let Some(grant) = node.limits.grant(node, &ask) {
-                send(node, Body::Grant(grant), registration.gossip);
-            }
-        }
+        Body::Ask(ask) => answer_ask(node, &ask, from),
         Body::Grant(grant) => node.limits.granted(node, grant),
         Body::Given(given) => {
             for (workspace, units) in given {
@@ -88,16 +88,9 @@
     }
 }
 
-fn update_remote_in_flight(node: &Node, before: &BTreeMap<Name, u32>, after: &BTreeMap<Name, u32>) {
-    let view = node.fleet.view.load();
-    for (id, endpoint) in &view.all {
-        let old_count = before.get(id).copied().unwrap_or_default();
-        let new_count = after.get(id).copied().unwrap_or_default();
-        if old_count != new_count {
-            endpoint
-                .tracker
-                .update_remote_in_flight(old_count, new_count);
-        }
+fn answer_ask(node: &Node, ask: &Ask, to: SocketAddr) {
+    if let Some(grant) = node.limits.grant(node, ask) {
+        send(node, Body::Grant(grant), to);
     }
 }
 
--- a/src/serving/peers/sender.rs
+++ b/src/serving/peers/sender.rs
@@ -1,10 +1,13 @@
 //! Sends this daemon's state and demand to its peers.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use tokio::time::{Instant, sleep_until};
 
-use super::{HEARTBEAT_INTERVAL, Peers, broadcast, broadcast_in_zone, send};
+use super::{
+    HEARTBEAT_INTERVAL, Peers, broadcast, broadcast_in_zone, send, update_remote_in_flight,
+};
 use crate::protocol::digest::{Body, State};
 use crate::serving::{Node, jitter};
 
@@ -57,6 +60,9 @@
     let now = node.now();
     node.fleet.expire_reports(now);
     node.peers.update_names(&node.settings, now);
+    for flights in node.peers.take_flights_of_silent(&node.settings, now) {
+        update_remote_in_flight(node, &flights, &BTreeMap::new());
+    }
     node.limits.return_surplus(node);
     let demand = node.demand.take();
     if node.placer.is_holder(node) {
