Renew the placement lease through peers when the store does not answer

Cause: the store turns the holder away (core_cut, platform_down on single machines); each change of the holder is five to six seconds without orders. Change: the conditional write goes through up to three peers after 250 ms, at once while the store is known to be silent.

--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -56,8 +56,10 @@
     Compacted,
     /// response of the store is malformed
     Page,
-    /// reader failed: {0}
-    Reader(peer::Error),
+    /// store did not respond in time
+    Silent,
+    /// peer failed: {0}
+    Peer(peer::Error),
     /// reader {0} is not known any more
     UnknownReader(Name),
 }
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -1,5 +1,6 @@
 //! Peers of this daemon: discovery, gossip in both directions, and fetching the configuration.
 
+pub mod commit;
 pub mod discover;
 pub mod receiver;
 pub mod sender;
@@ -42,6 +43,9 @@
 /// Longest time for which a peer may have a newer table version.
 const LONGEST_LAG: Duration = Duration::from_millis(2500);
 
+/// Number of peers through which a daemon writes to the store when it can't itself.
+const MAX_WRITERS: usize = 3;
+
 /// Silence of a process after which messages of a start with an earlier time are accepted.
 const SESSION_SILENCE: Duration = Duration::from_secs(3);
 
@@ -98,6 +102,8 @@
     silent: ArcSwap<Vec<Name>>,
     sequence: AtomicU64,
     listed: AtomicBool,
+    /// Whether the store did not answer this daemon's last write in time, so that the next one goes through peers at once.
+    store_is_silent: AtomicBool,
     unknown_sender: Notify,
     /// Homes of workspaces, as far as asked for since the list of names changed.
     homes: Mutex<HashMap<Name, Arc<[Home]>>>,
@@ -114,6 +120,7 @@
             silent: ArcSwap::default(),
             sequence: AtomicU64::default(),
             listed: AtomicBool::default(),
+            store_is_silent: AtomicBool::default(),
             unknown_sender: Notify::default(),
             homes: Mutex::default(),
             operator_lag: Mutex::default(),
@@ -241,6 +248,25 @@
         homes.into_iter().map(|(_, home)| home).collect()
     }
 
+    /// Addresses for RPC calls of the peers through which this daemon writes to the store when it can't itself.
+    fn writers(&self, own: &Settings, now: Duration) -> Vec<SocketAddr> {
+        let readers = self.readers(own, now);
+        let inner = self.inner.lock();
+        let live = inner
+            .iter()
+            .filter(|(_, peer)| peer.last_heard + LOST_AFTER > now);
+        let rank = |name: &Name, peer: &Peer| {
+            // Readers know that the store answers them; daemons of other zones do not share a failure of the zone.
+            let is_reader = readers.contains(name);
+            let millicores = (peer.registration.cores * 1000.0) as u64;
+            (is_reader, peer.registration.zone != own.zone, millicores)
+        };
+        let mut live: Vec<(&Name, &Peer)> = live.collect();
+        live.sort_by_key(|(name, peer)| std::cmp::Reverse(rank(name, peer)));
+        let addresses = live.iter().map(|(_, peer)| peer.registration.calls);
+        addresses.take(MAX_WRITERS).collect()
+    }
+
     /// Address for RPC calls of a peer.
     pub fn call_address(&self, name: &str) -> Option<SocketAddr> {
         let inner = self.inner.lock();
--- a/src/serving/peers/source.rs
+++ b/src/serving/peers/source.rs
@@ -87,7 +87,7 @@
                 // The connection may be dead without having been reset.
                 node.calls.reset(address);
             }
-            return Err(feed::Error::Reader(error));
+            return Err(feed::Error::Peer(error));
         }
     };
     let name: Name = feed::table_name(node, table).into();
@@ -176,6 +176,7 @@
         });
         method.map(drop)
     });
+    let registered = registered.and_then(|()| super::commit::register(&mut module));
     if let Err(error) = registered {
         spdlog::error!("peers: failed to register RPC method", kv: { error: = error });
     }
--- a/src/serving/placer/lease.rs
+++ b/src/serving/placer/lease.rs
@@ -8,6 +8,7 @@
 
 use super::PLAN_INTERVAL;
 use crate::coordination::election::{Lease, Step};
+use crate::serving::peers::commit;
 use crate::serving::{Node, feed, jitter};
 use crate::state::record::Name;
 use crate::state::row::Change;
@@ -65,7 +66,10 @@
     if let Some(version) = version.filter(|_| held) {
         let fence = node.placer.leadership.lock().fence;
         let requested_at = node.boot_now();
-        match write_own_lease(node, channel, fence, Some(version)).await {
+        // A holder that the store does not answer goes on as long as a peer can write for it: every change of the holder
+        // costs the time of a lease without orders.
+        let renewed = commit::commit(node, channel, &own_lease(node, fence, Some(version))).await;
+        match renewed {
             Ok(Some(version)) => {
                 let mut leadership = node.placer.leadership.lock();
                 leadership.election.claimed(fence, version, requested_at);
@@ -104,7 +108,8 @@
         }
         return Ok(());
     };
-    let Some(new_version) = write_own_lease(node, channel, fence, version).await? else {
+    let change = own_lease(node, fence, version);
+    let Some(new_version) = node.commit(channel, &change).await? else {
         return Ok(());
     };
     {
@@ -139,29 +144,19 @@
     format!("{}/{}", node.settings.name, node.session).into()
 }
 
-/// Writes this daemon's lease if the row is at `version`; returns the new version, or `None` if it isn't.
-async fn write_own_lease(
-    node: &Node,
-    channel: &Channel,
-    fence: u64,
-    version: Option<u64>,
-) -> Result<Option<u64>, feed::Error> {
+/// Change that writes this daemon's lease if the row is at `version`.
+fn own_lease(node: &Node, fence: u64, version: Option<u64>) -> Change {
     let lease = Lease {
         session: session_id(node),
         address: node.gossip_address,
         fence,
     };
-    write_lease(node, channel, &lease, version).await
+    write_lease(&lease, version)
 }
 
-async fn write_lease(
-    node: &Node,
-    channel: &Channel,
-    lease: &Lease,
-    version: Option<u64>,
-) -> Result<Option<u64>, feed::Error> {
+fn write_lease(lease: &Lease, version: Option<u64>) -> Change {
     let value = Bytes::from(serde_json::to_vec(lease).unwrap_or_default());
-    let change = Change {
+    Change {
         expected: vec![(
             LEASE_TABLE.into(),
             LEASE_KEY.into(),
@@ -169,8 +164,7 @@
         )],
         write: vec![(LEASE_TABLE.into(), LEASE_KEY.into(), value)],
         remove: Vec::new(),
-    };
-    node.commit(channel, &change).await
+    }
 }
 
 async fn release(node: &Node, channel: &Channel) {
@@ -189,7 +183,10 @@
         address: node.gossip_address,
         fence: node.placer.leadership.lock().fence,
     };
-    match write_lease(node, channel, &lease, Some(version)).await {
+    match node
+        .commit(channel, &write_lease(&lease, Some(version)))
+        .await
+    {
         Ok(_) => spdlog::info!("placer: lease released", kv: { fence = lease.fence }),
         Err(error) => spdlog::warn!("placer: failed to release lease", kv: { error: = error }),
     }
