--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -332,7 +332,7 @@
         let mut silent: Vec<Name> = silent.map(|(name, _)| (*name).clone()).collect();
         silent.sort();
         // A daemon that hears less than half of its zone may be the one that is cut off.
-        if silent.len() * 2 >= in_zone.len() + 1 {
+        if silent.len() * 2 > in_zone.len() {
             silent.clear();
         }
         drop(inner);
