Try another reader before the store when a reader refuses at once

Change: the store is next only after a reader that did not answer in time, or when no reader is left. Tests: follower_of_a_refused_reader_tries_the_other_one, failing_sources_are_not_read_without_a_pause.

--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -69,12 +69,14 @@
 /// let (mut selector, readers) = (Selector::default(), ["b".into()]);
 /// let reader = Source::Peer("b".into());
 /// assert_eq!(selector.choose("a", &readers, Duration::ZERO), reader);
-/// selector.failed(&reader, Duration::ZERO);
+/// selector.timed_out(&reader, Duration::ZERO);
 /// assert_eq!(selector.choose("a", &readers, Duration::ZERO), Source::Store);
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Selector {
     backoffs: HashMap<Source, Backoff>,
+    /// Whether a reader did not answer in time, so that no time is left to try another one.
+    is_late: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -85,7 +87,7 @@
 
 impl Selector {
     /// Chooses the source of the next read. A reader prefers the store, the others prefer one of the readers; the store
-    /// is the next choice after a reader that failed, because a second one may fail for the same reason.
+    /// is the next choice if none is usable, or after one that did not answer in time.
     pub fn choose(&self, own: &str, readers: &[Name], now: Duration) -> Source {
         let is_reader = readers.iter().any(|reader| **reader == *own);
         let mut peers: Vec<&Name> = readers.iter().filter(|reader| ***reader != *own).collect();
@@ -93,8 +95,7 @@
         peers.sort_by_key(|reader| Reverse(xxh3_64_with_seed(reader.as_bytes(), seed)));
         let peers: Vec<Source> = peers.into_iter().cloned().map(Source::Peer).collect();
         let usable = peers.iter().find(|peer| !self.is_backing_off(peer, now));
-        let failed = peers.iter().any(|peer| self.is_backing_off(peer, now));
-        let prefer_store = is_reader || failed;
+        let prefer_store = is_reader || self.is_late || usable.is_none();
         if prefer_store && !self.is_backing_off(&Source::Store, now) {
             return Source::Store;
         }
@@ -105,6 +106,13 @@
     /// Records a successful read.
     pub fn succeeded(&mut self, source: &Source) {
         self.backoffs.remove(source);
+        self.is_late = false;
+    }
+
+    /// Records a read that was not answered in time.
+    pub fn timed_out(&mut self, source: &Source, now: Duration) {
+        self.failed(source, now);
+        self.is_late = *source != Source::Store;
     }
 
     /// Records a failed read.
@@ -116,7 +124,8 @@
             .insert(source.clone(), Backoff { until, length });
     }
 
-    fn is_backing_off(&self, source: &Source, now: Duration) -> bool {
+    /// Whether a source has failed lately, so that a read has to wait.
+    pub fn is_backing_off(&self, source: &Source, now: Duration) -> bool {
         now < self.backing_off_until(source)
     }
 
--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -221,7 +221,10 @@
                 version = None;
             }
             Err(error) => {
-                selector.failed(&source, now);
+                match error {
+                    Error::Peer(peer::Error::Refused(_)) => selector.failed(&source, now),
+                    _ => selector.timed_out(&source, now),
+                }
                 if source == Source::Store && feed.failed(now) {
                     spdlog::warn!("feed: lost", kv: { table:? = table, error: = error });
                 } else {
@@ -235,7 +238,7 @@
                 }
                 channel = Channel::open(node.settings.store_address);
                 let next = selector.choose(&node.settings.name, &readers, now);
-                if next == source || next != Source::Store {
+                if selector.is_backing_off(&next, now) {
                     sleep(jitter(RETRY_PAUSE)).await;
                 }
             }
--- a/tests/reader.rs
+++ b/tests/reader.rs
@@ -69,6 +69,14 @@
     let readers: Vec<Name> = vec!["r1".into()];
     let mut selector = Selector::default();
     let second = Duration::from_secs(1);
+    let two: Vec<Name> = vec!["r1".into(), "r2".into()];
+    let first = selector.choose("d", &two, second);
+    selector.timed_out(&first, second);
+    assert_eq!(selector.choose("d", &two, second), Source::Store);
+    selector.succeeded(&Source::Store);
+    assert!(![first, Source::Store].contains(&selector.choose("d", &two, second)));
+
+    let mut selector = Selector::default();
     assert_eq!(selector.choose("d", &readers, second), peer("r1"));
     selector.failed(&peer("r1"), second);
     assert_eq!(selector.choose("d", &readers, second), Source::Store);
@@ -78,6 +86,23 @@
     assert_eq!(selector.choose("d", &readers, second * 2), peer("r1"));
 }
 
+/// Pattern: the store turns readers away, which say so at once; their followers go to other readers, not to the store.
+#[test]
+fn follower_of_a_refused_reader_tries_the_other_one() {
+    let readers: Vec<Name> = vec!["r1".into(), "r2".into()];
+    let mut selector = Selector::default();
+    let now = Duration::from_secs(1);
+    let first = selector.choose("d", &readers, now);
+    selector.failed(&first, now);
+    let second = selector.choose("d", &readers, now);
+    assert!(
+        matches!(&second, Source::Peer(_)) && second != first,
+        "{second:?}"
+    );
+    selector.failed(&second, now);
+    assert_eq!(selector.choose("d", &readers, now), Source::Store);
+}
+
 /// Pattern: the store turns single daemons away, readers among them.
 #[test]
 fn daemon_that_the_store_refuses_follows_a_reader() {
@@ -94,6 +119,25 @@
     }
 }
 
+/// Whatever fails, the next read is of a source that has not failed lately, or waits.
+#[test]
+fn failing_sources_are_not_read_without_a_pause() {
+    let readers: Vec<Name> = vec!["r1".into(), "r2".into()];
+    let mut selector = Selector::default();
+    let now = Duration::from_secs(1);
+    let mut reads = 0;
+    loop {
+        let source = selector.choose("d", &readers, now);
+        if selector.is_backing_off(&source, now) {
+            break;
+        }
+        selector.failed(&source, now);
+        reads += 1;
+        assert!(reads <= 3, "{source:?}");
+    }
+    assert_eq!(reads, 3);
+}
+
 /// Pattern: the store is down for everybody; only readers try it again and again.
 #[test]
 fn outage_of_the_store_is_watched_by_readers_only() {
