Encode a broadcast once, take the lag of tables out of the peers' room

Cause: a message to 294 daemons was encoded 294 times, by the placer up to 25 times a second. All copies bear one sequence number; each receiver gets one of them, so numbers still rise for it. Split for readers: peers::lag, silent_in_zone. No test changes but the encoding call.

--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod commit;
 pub mod discover;
+pub mod lag;
 pub mod receiver;
 pub mod sender;
 pub mod source;
@@ -17,12 +18,15 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use lag::Lag;
+
 use super::Node;
 use super::settings::Settings;
 use crate::coordination::reader::{self, Candidate};
 use crate::coordination::rendezvous;
 use crate::protocol::digest::{Body, Digest, Holding, Registration, State};
 use crate::state::record::Name;
+use crate::transport::gossip;
 
 /// Interval between heartbeats to a peer in a small fleet or zone.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
@@ -314,28 +318,18 @@
             .collect()
     }
 
+    /// Updates the daemons that share limits and those that are not homes, from when each was last heard.
     fn update_names(&self, own: &Settings, now: Duration) {
-        let silence = self.home_silence(own);
-        let inner = self.inner.lock();
-        let live = inner
-            .iter()
-            .filter(|(_, peer)| peer.last_heard + LOST_AFTER > now);
-        let mut names: Vec<Name> = live.map(|(name, _)| name.clone()).collect();
+        let mut names: Vec<Name> = {
+            let inner = self.inner.lock();
+            let live = inner
+                .iter()
+                .filter(|(_, peer)| peer.last_heard + LOST_AFTER > now);
+            live.map(|(name, _)| name.clone()).collect()
+        };
         names.push(own.name.clone());
         names.sort();
-        let in_zone = inner.iter().filter(|(name, peer)| {
-            peer.registration.zone == own.zone && names.binary_search(name).is_ok()
-        });
-        let in_zone: Vec<(&Name, &Peer)> = in_zone.collect();
-        let is_silent = |peer: &Peer| peer.state.leaving || peer.last_heard + silence <= now;
-        let silent = in_zone.iter().filter(|(_, peer)| is_silent(peer));
-        let mut silent: Vec<Name> = silent.map(|(name, _)| (*name).clone()).collect();
-        silent.sort();
-        // A daemon that hears less than half of its zone may be the one that is cut off.
-        if silent.len() * 2 > in_zone.len() {
-            silent.clear();
-        }
-        drop(inner);
+        let silent = self.silent_in_zone(own, now);
         let mut is_changed = false;
         if names != **self.names.load() {
             spdlog::info!("peers: limits divided", kv: { daemons = names.len() });
@@ -352,6 +346,26 @@
         }
     }
 
+    /// Sorted names of the daemons of this daemon's zone that are silent or leaving; none if this daemon hears less than
+    /// half of its zone, since it may be the one that is cut off.
+    fn silent_in_zone(&self, own: &Settings, now: Duration) -> Vec<Name> {
+        let silence = self.home_silence(own);
+        let inner = self.inner.lock();
+        let in_zone = inner.iter().filter(|(_, peer)| {
+            peer.registration.zone == own.zone && peer.last_heard + LOST_AFTER > now
+        });
+        let in_zone: Vec<(&Name, &Peer)> = in_zone.collect();
+        let silent = in_zone
+            .iter()
+            .filter(|(_, peer)| peer.state.leaving || peer.last_heard + silence <= now);
+        let mut silent: Vec<Name> = silent.map(|(name, _)| (*name).clone()).collect();
+        if silent.len() * 2 > in_zone.len() {
+            return Vec::new();
+        }
+        silent.sort();
+        silent
+    }
+
     /// Silence after which a daemon of this daemon's zone is no home any more.
     fn home_silence(&self, own: &Settings) -> Duration {
         let heartbeats = HEARTBEAT_INTERVAL * self.zone_interval_factor(own) * 5 / 2;
@@ -365,68 +379,42 @@
 
 /// Sends a message to one daemon.
 pub fn send(node: &Node, body: Body, to: SocketAddr) {
-    let sequence = node.peers.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-    let digest = Digest {
-        daemon: node.settings.name.clone(),
-        session: node.session,
-        sequence,
-        body,
-    };
-    node.meter.digests.inc();
-    if let Err(error) = node.gossip.send(&digest, to) {
-        node.journal.line(
-            || spdlog::info!("peers: failed to send message", kv: { to: = to, error: = error }),
-        );
-    }
+    send_to(node, body, &[to]);
 }
 
 /// Sends a message to every peer of this daemon's zone.
-pub fn broadcast_in_zone(node: &Node, body: &Body) {
-    for address in node.peers.zone_addresses(&node.settings) {
-        send(node, body.clone(), address);
-    }
+pub fn broadcast_in_zone(node: &Node, body: Body) {
+    send_to(node, body, &node.peers.zone_addresses(&node.settings));
 }
 
 /// Sends a message to every peer.
-pub fn broadcast(node: &Node, body: &Body) {
-    for address in node.peers.addresses() {
-        send(node, body.clone(), address);
-    }
+pub fn broadcast(node: &Node, body: Body) {
+    send_to(node, body, &node.peers.addresses());
 }
 
-/// Tracks how long peers have had a newer version of a table than this daemon.
-#[derive(Debug, Default)]
-pub struct Lag {
-    /// Newest version that a peer reported and this daemon did not have, and when that was first seen.
-    behind: Option<(u64, Duration)>,
-}
-
-impl Lag {
-    /// Whether this daemon still lacks a version that a peer had more than `max_lag` ago; reports each such version once.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use persimmoncroft::serving::peers::Lag;
-    /// let second = Duration::from_secs(1);
-    /// let mut lag = Lag::default();
-    /// assert!(!lag.observe((4, 7), second, Duration::ZERO));
-    /// // The version has arrived in the meantime; the next one is new.
-    /// assert!(!lag.observe((7, 9), second, second * 2));
-    /// assert!(lag.observe((7, 12), second, second * 3));
-    /// ```
-    pub fn observe(
-        &mut self,
-        (own_version, peer_version): (u64, u64),
-        max_lag: Duration,
-        now: Duration,
-    ) -> bool {
-        let behind = self.behind.filter(|(version, _)| *version > own_version);
-        self.behind = behind.or((peer_version > own_version).then_some((peer_version, now)));
-        let is_late = self.behind.is_some_and(|(_, since)| since + max_lag <= now);
-        if is_late {
-            self.behind = None;
+/// Encodes a message once and sends it to several daemons.
+fn send_to(node: &Node, body: Body, addresses: &[SocketAddr]) {
+    let sequence = node.peers.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+    let digest = Digest {
+        daemon: node.settings.name.clone(),
+        session: node.session,
+        sequence,
+        body,
+    };
+    let message = match gossip::encode(&digest) {
+        Ok(message) => message,
+        Err(error) => {
+            spdlog::error!("peers: failed to encode message", kv: { error: = error });
+            return;
+        }
+    };
+    for to in addresses {
+        node.meter.digests.inc();
+        if let Err(error) = node.gossip.send(&message, *to) {
+            node.journal.line(
+                || spdlog::info!("peers: failed to send message", kv: { to: = to, error: = error }),
+            );
         }
-        is_late
     }
 }
 
--- a/src/serving/peers/sender.rs
+++ b/src/serving/peers/sender.rs
@@ -75,8 +75,8 @@
         ..current_state(node)
     });
     match to_all {
-        true => broadcast(node, &state),
-        false => broadcast_in_zone(node, &state),
+        true => broadcast(node, state),
+        false => broadcast_in_zone(node, state),
     }
 }
 
--- a/src/serving/placer/mod.rs
+++ b/src/serving/placer/mod.rs
@@ -150,7 +150,7 @@
         holdings.collect()
     };
     for part in holdings.chunks(MAX_ENGINES_PER_MESSAGE) {
-        peers::broadcast(node, &Body::Held(part.to_vec()));
+        peers::broadcast(node, Body::Held(part.to_vec()));
     }
 }
 
--- a/src/transport/gossip.rs
+++ b/src/transport/gossip.rs
@@ -23,6 +23,23 @@
 
 impl std::error::Error for Error {}
 
+/// Encodes a message.
+///
+/// # Errors
+/// [`Error::Codec`], or [`Error::TooLong`] if it does not fit a datagram.
+///
+/// ```
+/// use persimmoncroft::transport::gossip::encode;
+/// assert_eq!(encode(&[1, 2]).unwrap(), b"[1,2]");
+/// ```
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, Error> {
+    let bytes = serde_json::to_vec(message).map_err(Error::Codec)?;
+    match bytes.len() > MAX_BYTES {
+        true => Err(Error::TooLong(bytes.len())),
+        false => Ok(bytes),
+    }
+}
+
 /// A bound UDP socket for JSON messages.
 #[derive(Debug)]
 pub struct Socket {
@@ -47,16 +64,12 @@
         self.socket.local_addr().map_err(Error::Socket)
     }
 
-    /// Sends a message without waiting; it is lost if the send buffer is full.
+    /// Sends an encoded message without waiting; it is lost if the send buffer is full.
     ///
     /// # Errors
-    /// Any [`Error`]; [`Error::Socket`] if the send buffer is full.
-    pub fn send<T: Serialize>(&self, message: &T, to: SocketAddr) -> Result<(), Error> {
-        let bytes = serde_json::to_vec(message).map_err(Error::Codec)?;
-        if bytes.len() > MAX_BYTES {
-            return Err(Error::TooLong(bytes.len()));
-        }
-        let sent = self.socket.try_send_to(&bytes, to);
+    /// [`Error::Socket`], also if the send buffer is full.
+    pub fn send(&self, message: &[u8], to: SocketAddr) -> Result<(), Error> {
+        let sent = self.socket.try_send_to(message, to);
         sent.map(drop).map_err(Error::Socket)
     }
 
