--- a/src/state/mirror.rs
+++ b/src/state/mirror.rs
@@ -27,10 +27,12 @@
 /// use persimmoncroft::state::mirror::{Changes, Mirror};
 /// use persimmoncroft::state::row::Row;
 /// let row = |key: &str, version| Row { table: "t".into(), key: key.into(), value: Some("v".into()), version };
+/// let changes = |rows, version, all| Changes { rows, version, all };
 /// let mut mirror = Mirror::default();
-/// mirror.apply(&Changes { rows: vec![row("a", 1), row("b", 3)], version: 3, all: true });
-/// let changes = mirror.changes_after("t", 1);
-/// assert_eq!((changes.rows, changes.version), (vec![row("b", 3)], 3));
+/// mirror.apply(&changes(vec![row("a", 1)], 1, true));
+/// mirror.apply(&changes(vec![row("b", 3)], 3, false));
+/// assert_eq!(mirror.changes_after("t", 1), changes(vec![row("b", 3)], 3, false));
+/// assert_eq!(mirror.changes_after("t", 0).rows.len(), 2);
 /// ```
 #[derive(Debug, Default)]
 pub struct Mirror {
