--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -12,7 +12,7 @@
 use super::Node;
 use super::admit::{Admission, Refusal};
 use super::choose::{self, Unavailable};
-use super::send::{Context, Exchange, FULL_PAUSE, MIN_REMAINING, Outcome};
+use super::send::{Context, Exchange, FULL_PAUSE, MIN_REMAINING, Outcome, Phase};
 use super::stream;
 use crate::protocol::connection;
 use crate::state::call::Call;
@@ -45,13 +45,18 @@
         delivered: 0,
         answered_by: None,
         token: node.requests.token(),
+        phase: Phase::Choosing,
     };
     node.demand.record(&ctx.call);
     let wait_started = node.now();
     let mut failure: Option<Response<Body>> = None;
     loop {
         if ctx.remaining() < MIN_REMAINING {
-            return fail(&ctx, failure, Refusal::busy("out_of_time", RETRY_INTERVAL));
+            return fail(
+                &mut ctx,
+                failure,
+                Refusal::busy("out_of_time", RETRY_INTERVAL),
+            );
         }
         let choice = match choose::choose(node, &ctx.admission, &ctx.call, &ctx.tried) {
             Ok(choice) => choice,
@@ -60,11 +65,15 @@
                     continue;
                 }
                 let retry_after = retry_delay(node, &ctx, cause);
-                return fail(&ctx, failure, Refusal::busy(cause.reason(), retry_after));
+                return fail(
+                    &mut ctx,
+                    failure,
+                    Refusal::busy(cause.reason(), retry_after),
+                );
             }
         };
         if !ctx.take_retry() {
-            return fail(&ctx, failure, Refusal::busy("retry_budget", FULL_PAUSE));
+            return fail(&mut ctx, failure, Refusal::busy("retry_budget", FULL_PAUSE));
         }
         let resume_after = ctx.call.last_event;
         match ctx.send(&choice, resume_after).await {
@@ -79,11 +88,11 @@
                         failure = Some(response);
                         ctx.tried.push(endpoint);
                     }
-                    Some(response) => return complete(&ctx, response),
+                    Some(response) => return complete(&mut ctx, response),
                     None => {
                         ctx.tried.push(endpoint);
                         if !ctx.can_retry() {
-                            return fail(&ctx, failure, response_lost(false));
+                            return fail(&mut ctx, failure, response_lost(false));
                         }
                     }
                 }
@@ -92,14 +101,14 @@
                 let rejections = (ctx.delivered - ctx.runs) as usize;
                 if rejections >= MAX_REJECTIONS {
                     let refusal = Refusal::busy("turned_away", FULL_PAUSE * 3);
-                    return fail(&ctx, failure, refusal);
+                    return fail(&mut ctx, failure, refusal);
                 }
             }
             Outcome::Unsent => {}
             Outcome::Broken if ctx.can_retry() => {}
             Outcome::TimedOut if ctx.can_retry() => {}
-            Outcome::Broken => return fail(&ctx, failure, response_lost(false)),
-            Outcome::TimedOut => return fail(&ctx, failure, response_lost(true)),
+            Outcome::Broken => return fail(&mut ctx, failure, response_lost(false)),
+            Outcome::TimedOut => return fail(&mut ctx, failure, response_lost(true)),
         }
     }
 }
@@ -181,7 +190,8 @@
     parts
 }
 
-fn complete(ctx: &Context, response: Response<Body>) -> Response<Body> {
+fn complete(ctx: &mut Context, response: Response<Body>) -> Response<Body> {
+    ctx.phase = Phase::Settled;
     let node = &ctx.node;
     let status = response.status();
     node.meter.count_outcome("answered", status.as_u16());
@@ -193,7 +203,8 @@
 
 /// Ends a request that got no usable response: returns an endpoint's error response if there is one, else an error of
 /// the daemon itself. Units taken from the rate limit are refunded if the request did not run.
-fn fail(ctx: &Context, failure: Option<Response<Body>>, refusal: Refusal) -> Response<Body> {
+fn fail(ctx: &mut Context, failure: Option<Response<Body>>, refusal: Refusal) -> Response<Body> {
+    ctx.phase = Phase::Settled;
     if let Some(failure) = failure {
         return complete(ctx, failure);
     }
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -95,6 +95,42 @@
     pub answered_by: Option<Name>,
     /// Counts the request as in flight until its response is complete.
     pub token: TaskTrackerToken,
+    /// What the request is waiting for.
+    pub phase: Phase,
+}
+
+/// Progress of a request, to log what it was waiting for when its caller left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// It waits for an endpoint.
+    Choosing,
+    /// It waits for the head of an endpoint's response.
+    Sent,
+    /// It waits for the rest of an endpoint's response.
+    Reading,
+    /// It was answered or refused, or its stream was broken off by the daemon.
+    Settled,
+}
+
+impl Drop for Context {
+    fn drop(&mut self) {
+        if self.phase == Phase::Settled {
+            return;
+        }
+        self.node.meter.count_outcome("abandoned", 0);
+        let elapsed = self.node.now().saturating_sub(self.admission.arrived);
+        self.node.journal.line(|| {
+            spdlog::info!("relay: abandoned", kv: {
+                request: = self.call.id,
+                route: = self.admission.route.name,
+                phase:? = self.phase,
+                endpoint: = self.answered_by.as_deref().unwrap_or("-"),
+                elapsed_ms = elapsed.as_millis() as u64,
+                left_ms = self.remaining().as_millis() as u64,
+                runs = self.runs,
+            });
+        });
+    }
 }
 
 impl Context {
@@ -137,6 +173,7 @@
         }
         let request = (node.codec.dispatch)(&self.call, &self.dispatch(choice, resume_after));
         let sent_at = node.now();
+        self.phase = Phase::Sent;
         let head_timeout = self.head_timeout();
         let response = match timeout(head_timeout, connection.send(request)).await {
             Ok(Err(Error::Unsent)) => return Outcome::Unsent,
@@ -244,6 +281,7 @@
             return Outcome::Broken;
         }
         self.runs += 1;
+        self.phase = Phase::Reading;
         self.answered_by = Some(choice.endpoint.entry.id.clone());
         exchange.flight.first_byte_received();
         let mut state = tracker.lock();
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -11,7 +11,7 @@
 
 use super::choose::{self, Unavailable};
 use super::relay::{Body, forwarded_parts};
-use super::send::{Context, Exchange, Outcome};
+use super::send::{Context, Exchange, Outcome, Phase};
 
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -147,8 +147,14 @@
         let mut forwarder = state?;
         match forwarder.next().await {
             Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(forwarder))),
-            Ok(None) => None,
-            Err(error) => Some((Err(error), None)),
+            Ok(None) => {
+                forwarder.ctx.phase = Phase::Settled;
+                None
+            }
+            Err(error) => {
+                forwarder.ctx.phase = Phase::Settled;
+                Some((Err(error), None))
+            }
         }
     });
     Response::from_parts(parts, BodyExt::boxed_unsync(StreamBody::new(chunks)))
@@ -325,6 +331,7 @@
         drop(exchange);
         self.events.discard_partial();
         let last = self.events.last();
+        let silent = node.now().saturating_sub(self.last_received);
         self.ctx.tried.push(broken.clone());
         let outcome = self.reconnect(last, retry_taken).await;
         let resumed = outcome.is_ok();
@@ -336,6 +343,7 @@
                 last_event = last.map_or(-1, |last| last as i64),
                 resumed = resumed,
                 because = outcome.err().unwrap_or("-"),
+                silent_ms = silent.as_millis() as u64,
                 runs = self.ctx.runs,
             });
         });
