Keep a silent stream's connection until another endpoint has taken the stream

Callers saw a stream end in the middle although its endpoint was only silent for a second.

Cause: the daemon dropped the connection to the silent endpoint first and then asked another one. When that one turned the stream away, could not be reached or did not respond, or no further retry was left, nothing was left to read from. Endpoints with room a moment ago often have none when many streams of a silent endpoint move at once.

Now the other endpoint is asked while the connection is kept; it is dropped when the other one has begun to respond, and else read on. Both run at the same time for no longer than the head of a response is on its way. A failed move restarts the count of silence, so that a stream does not use up the retries of others.

--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -75,8 +75,8 @@
         if !ctx.take_retry() {
             return fail(&mut ctx, failure, Refusal::busy("retry_budget", FULL_PAUSE));
         }
-        let resume_after = ctx.call.last_event;
-        match ctx.send(&choice, resume_after).await {
+        let (resume_after, max_wait) = (ctx.call.last_event, ctx.remaining());
+        match ctx.send(&choice, resume_after, max_wait).await {
             Outcome::Answered(exchange) => {
                 let retry = exchange.parts.status.is_server_error() && ctx.can_retry();
                 if ctx.admission.route.kind.is_streaming() && exchange.parts.status.is_success() {
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -76,6 +76,19 @@
     TimedOut,
 }
 
+impl Outcome {
+    /// Short reason, for logs.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "failed",
+            Self::Rejected => "turned_away",
+            Self::Unsent => "unsent",
+            Self::Broken => "broken",
+            Self::TimedOut => "silent",
+        }
+    }
+}
+
 /// State of a request that is sent to endpoints.
 #[derive(Debug)]
 pub struct Context {
@@ -158,9 +171,14 @@
         taken
     }
 
-    /// Sends the request to an endpoint and waits for the head of the response. `resume_after` is the event after which
-    /// a stream resumes.
-    pub async fn send(&mut self, choice: &Choice, resume_after: Option<u64>) -> Outcome {
+    /// Sends the request to an endpoint and waits for the head of the response, `max_wait` at most. `resume_after` is
+    /// the event after which a stream resumes.
+    pub async fn send(
+        &mut self,
+        choice: &Choice,
+        resume_after: Option<u64>,
+        max_wait: Duration,
+    ) -> Outcome {
         let node = self.node.clone();
         let tracker = &choice.endpoint.tracker;
         let flight = InFlight::open(tracker, choice.uncached_tokens);
@@ -174,7 +192,7 @@
         let request = (node.codec.dispatch)(&self.call, &self.dispatch(choice, resume_after));
         let sent_at = node.now();
         self.phase = Phase::Sent;
-        let head_timeout = self.head_timeout();
+        let head_timeout = self.head_timeout().min(max_wait);
         let response = match timeout(head_timeout, connection.send(request)).await {
             Ok(Err(Error::Unsent)) => return Outcome::Unsent,
             response => response,
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -124,8 +124,8 @@
     first_event_after: Option<Duration>,
     last_event_at: Duration,
     longest_pause: Duration,
-    /// Time at which the current endpoint last sent something.
-    last_received: Duration,
+    /// Time from which the current endpoint's silence is counted.
+    silent_since: Duration,
 }
 
 /// Returns a response that forwards an endpoint's stream.
@@ -136,7 +136,7 @@
         .count_outcome("answered", parts.status.as_u16());
     let forwarder = Forwarder {
         events: Events::after(ctx.call.last_event),
-        last_received: ctx.node.now(),
+        silent_since: ctx.node.now(),
         ctx,
         exchange: Some(Box::new(exchange)),
         first_event_after: None,
@@ -188,16 +188,9 @@
                     }
                     return Ok(None);
                 }
-                // A silent endpoint may be busy with other requests; it is left only for one that can resume.
-                Received::TimedOut if !self.can_move() => {}
-                Received::TimedOut => {
-                    if !self.resume("stream_silent", true).await {
-                        self.ctx.node.meter.count_outcome("stream_silent", 0);
-                        return Err(std::io::Error::other("stream_silent"));
-                    }
-                }
+                Received::TimedOut => self.try_move().await,
                 Received::Failed(reason) => {
-                    if !self.resume(reason, false).await {
+                    if !self.resume(reason).await {
                         self.ctx.node.meter.count_outcome(reason, 0);
                         return Err(std::io::Error::other(reason));
                     }
@@ -228,7 +221,7 @@
             Ok(Some(Err(_))) => return Received::Failed("stream_broken"),
             Ok(Some(Ok(frame))) => frame,
         };
-        self.last_received = self.ctx.node.now();
+        self.silent_since = self.ctx.node.now();
         let Ok(data) = frame.into_data() else {
             return Received::Incomplete;
         };
@@ -242,7 +235,7 @@
     /// Time left before a silent endpoint is replaced.
     fn silence_timeout(&self) -> Duration {
         let longest = (self.ctx.admission.route.gap * SILENCE_GAPS).max(MIN_SILENCE);
-        let silent = self.ctx.node.now().saturating_sub(self.last_received);
+        let silent = self.ctx.node.now().saturating_sub(self.silent_since);
         longest.saturating_sub(silent).max(RETRY_INTERVAL)
     }
 
@@ -306,21 +299,61 @@
         });
     }
 
-    /// Whether another endpoint has room to resume the stream; takes the retry that this needs.
-    fn can_move(&self) -> bool {
-        let Some(exchange) = &self.exchange else {
-            return false;
+    /// Moves the stream from a silent endpoint to another one that takes it. The silent one may only be busy with other
+    /// requests, so its connection is kept until the other one has begun to respond.
+    async fn try_move(&mut self) {
+        let Some(silent) = self.exchange.as_ref().map(|e| e.endpoint.clone()) else {
+            return;
+        };
+        let max_wait = self.caller_patience();
+        if max_wait.is_zero() {
+            return;
+        }
+        let ctx = &mut self.ctx;
+        let node = ctx.node.clone();
+        let mut excluded = ctx.tried.clone();
+        excluded.push(silent.entry.id.clone());
+        if !ctx.can_retry() || !choose::has_room(&node, &ctx.admission, &ctx.call, &excluded) {
+            return;
+        }
+        let choice = choose::choose(&node, &ctx.admission, &ctx.call, &excluded);
+        let Ok(choice) = choice else {
+            return;
         };
-        let ctx = &self.ctx;
-        let mut tried = ctx.tried.clone();
-        tried.push(exchange.endpoint.entry.id.clone());
-        ctx.can_retry()
-            && choose::has_room(&ctx.node, &ctx.admission, &ctx.call, &tried)
-            && ctx.take_retry()
+        if !ctx.take_retry() {
+            return;
+        }
+        let silence = node.now().saturating_sub(self.silent_since);
+        let last = self.events.last();
+        let outcome = ctx.send(&choice, last, max_wait).await;
+        let (is_moved, because) = match outcome {
+            Outcome::Answered(exchange) if exchange.parts.status.is_success() => {
+                silent.tracker.lock().health.failed(node.now());
+                node.meter.resumes.inc();
+                self.events.discard_partial();
+                self.exchange = Some(exchange);
+                (true, "-")
+            }
+            outcome => (false, outcome.reason()),
+        };
+        self.silent_since = node.now();
+        self.ctx.phase = Phase::Reading;
+        node.journal.line(|| {
+            spdlog::info!("stream: silent", kv: {
+                request: = self.ctx.call.id,
+                endpoint: = silent.entry.id,
+                other: = choice.endpoint.entry.id,
+                last_event = last.map_or(-1, |last| last as i64),
+                moved = is_moved,
+                because = because,
+                silent_ms = silence.as_millis() as u64,
+                runs = self.ctx.runs,
+            });
+        });
     }
 
-    /// Resumes at another endpoint after the last whole event; `retry_taken` means that the first send has its retry.
-    async fn resume(&mut self, reason: &'static str, retry_taken: bool) -> bool {
+    /// Resumes a broken stream at another endpoint after the last whole event.
+    async fn resume(&mut self, reason: &'static str) -> bool {
         let Some(exchange) = self.exchange.take() else {
             return false;
         };
@@ -331,9 +364,9 @@
         drop(exchange);
         self.events.discard_partial();
         let last = self.events.last();
-        let silent = node.now().saturating_sub(self.last_received);
+        let silent = node.now().saturating_sub(self.silent_since);
         self.ctx.tried.push(broken.clone());
-        let outcome = self.reconnect(last, retry_taken).await;
+        let outcome = self.reconnect(last).await;
         let resumed = outcome.is_ok();
         node.journal.line(|| {
             spdlog::info!("stream: broken", kv: {
@@ -351,11 +384,7 @@
     }
 
     /// Resumes at another endpoint after the event `last`, as long as the caller is expected to wait.
-    async fn reconnect(
-        &mut self,
-        last: Option<u64>,
-        mut retry_taken: bool,
-    ) -> Result<(), &'static str> {
+    async fn reconnect(&mut self, last: Option<u64>) -> Result<(), &'static str> {
         let node = self.ctx.node.clone();
         let deadline = node.now() + self.caller_patience();
         let mut attempts = 0;
@@ -377,16 +406,16 @@
                     continue;
                 }
             };
-            if !retry_taken && !self.ctx.take_retry() {
+            if !self.ctx.take_retry() {
                 return Err("retry_budget");
             }
-            retry_taken = false;
             attempts += 1;
-            if let Outcome::Answered(exchange) = self.ctx.send(&choice, last).await
+            let max_wait = self.ctx.remaining();
+            if let Outcome::Answered(exchange) = self.ctx.send(&choice, last, max_wait).await
                 && exchange.parts.status.is_success()
             {
                 node.meter.resumes.inc();
-                self.last_received = node.now();
+                self.silent_since = node.now();
                 self.exchange = Some(exchange);
                 return Ok(());
             }
