Listen to a silent endpoint until another one has answered the request

Callers of requests that may be repeated got 502 or 504 although their endpoint was only silent for a second.

Cause: the same as for silent streams, before the head of the response: after 0.4 s or 2.5 objectives the daemon closed the connection and turned to another endpoint, and when nobody took the request, nothing was left to wait for.

Now a send without a response stays pending; the first endpoint that answers is used and the others are cancelled. While there is no other endpoint, one is looked for every 100 ms. A pending send that turns out not to have run no longer counts as a run, so a refusal stays true. The decision whether a request may go to a further endpoint is in one function.

--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -11,8 +11,8 @@
 
 use super::Node;
 use super::admit::{Admission, Refusal};
-use super::choose::{self, Unavailable};
-use super::send::{Context, Exchange, FULL_PAUSE, MIN_REMAINING, Outcome, Phase};
+use super::choose::{self, Choice, Unavailable};
+use super::send::{Context, Exchange, FULL_PAUSE, MIN_REMAINING, Outcome, Pending, Phase};
 use super::stream;
 use crate::protocol::connection;
 use crate::state::call::Call;
@@ -33,6 +33,9 @@
 /// Interval at which a waiting request looks for an endpoint again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Interval at which a request whose endpoints are silent looks for another one.
+const SILENT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Answers an admitted request.
 pub async fn answer(node: &Arc<Node>, call: Call, admission: Admission) -> Response<Body> {
     node.deposit_retry(&admission.service.name);
@@ -50,33 +53,30 @@
     node.demand.record(&ctx.call);
     let wait_started = node.now();
     let mut failure: Option<Response<Body>> = None;
+    // Endpoints that were silent so far; they are listened to until one has answered.
+    let mut silent: Vec<Pending> = Vec::new();
     loop {
         if ctx.remaining() < MIN_REMAINING {
-            return fail(
-                &mut ctx,
-                failure,
-                Refusal::busy("out_of_time", RETRY_INTERVAL),
-            );
+            let refusal = Refusal::busy("out_of_time", RETRY_INTERVAL);
+            return fail(&mut ctx, failure, refusal);
         }
-        let choice = match choose::choose(node, &ctx.admission, &ctx.call, &ctx.tried) {
-            Ok(choice) => choice,
-            Err(cause) => {
-                if ctx.delivered == 0 && wait_for_endpoint(&ctx, cause, wait_started).await {
-                    continue;
+        let outcome = match next_endpoint(&mut ctx, wait_started).await {
+            Ok(choice) => {
+                let (resume_after, max_wait) = (ctx.call.last_event, ctx.max_wait(&silent));
+                ctx.send(&choice, resume_after, max_wait).await
+            }
+            Err(refusal) if silent.is_empty() || failure.is_some() => {
+                return fail(&mut ctx, failure, refusal);
+            }
+            Err(_) => {
+                let max_wait = SILENT_RETRY_INTERVAL.min(ctx.remaining());
+                match ctx.receive_any(&mut silent, max_wait).await {
+                    Some(outcome) => outcome,
+                    None => continue,
                 }
-                let retry_after = retry_delay(node, &ctx, cause);
-                return fail(
-                    &mut ctx,
-                    failure,
-                    Refusal::busy(cause.reason(), retry_after),
-                );
             }
         };
-        if !ctx.take_retry() {
-            return fail(&mut ctx, failure, Refusal::busy("retry_budget", FULL_PAUSE));
-        }
-        let (resume_after, max_wait) = (ctx.call.last_event, ctx.remaining());
-        match ctx.send(&choice, resume_after, max_wait).await {
+        match outcome {
             Outcome::Answered(exchange) => {
                 let retry = exchange.parts.status.is_server_error() && ctx.can_retry();
                 if ctx.admission.route.kind.is_streaming() && exchange.parts.status.is_success() {
@@ -84,31 +84,39 @@
                 }
                 let endpoint = exchange.endpoint.entry.id.clone();
                 match read_response(node, &ctx, *exchange).await {
-                    Some(response) if retry => {
-                        failure = Some(response);
-                        ctx.tried.push(endpoint);
-                    }
+                    Some(response) if retry => failure = Some(response),
                     Some(response) => return complete(&mut ctx, response),
-                    None => {
-                        ctx.tried.push(endpoint);
-                        if !ctx.can_retry() {
-                            return fail(&mut ctx, failure, response_lost(false));
-                        }
-                    }
+                    None => {}
                 }
+                ctx.tried.push(endpoint);
             }
-            Outcome::Rejected => {
-                let rejections = (ctx.delivered - ctx.runs) as usize;
-                if rejections >= MAX_REJECTIONS {
-                    let refusal = Refusal::busy("turned_away", FULL_PAUSE * 3);
-                    return fail(&mut ctx, failure, refusal);
-                }
-            }
-            Outcome::Unsent => {}
-            Outcome::Broken if ctx.can_retry() => {}
-            Outcome::TimedOut if ctx.can_retry() => {}
-            Outcome::Broken => return fail(&mut ctx, failure, response_lost(false)),
-            Outcome::TimedOut => return fail(&mut ctx, failure, response_lost(true)),
+            Outcome::TimedOut(pending) => silent.push(*pending),
+            Outcome::Rejected | Outcome::Unsent | Outcome::Broken => {}
+        }
+    }
+}
+
+/// Chooses the endpoint that a request is sent to next and takes the retry that this needs.
+async fn next_endpoint(ctx: &mut Context, wait_started: Duration) -> Result<Choice, Refusal> {
+    let node = ctx.node.clone();
+    if ctx.runs > 0 && !ctx.can_retry() {
+        return Err(response_lost(false));
+    }
+    let rejections = (ctx.delivered - ctx.runs) as usize;
+    if rejections >= MAX_REJECTIONS {
+        return Err(Refusal::busy("turned_away", FULL_PAUSE * 3));
+    }
+    loop {
+        let cause = match choose::choose(&node, &ctx.admission, &ctx.call, &ctx.tried) {
+            Ok(choice) if ctx.take_retry() => return Ok(choice),
+            Ok(_) => return Err(Refusal::busy("retry_budget", FULL_PAUSE)),
+            Err(cause) => cause,
+        };
+        if ctx.delivered > 0 || !wait_for_endpoint(ctx, cause, wait_started).await {
+            return Err(Refusal::busy(
+                cause.reason(),
+                retry_delay(&node, ctx, cause),
+            ));
         }
     }
 }
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -1,9 +1,12 @@
 //! Sends a request to one endpoint and classifies the response.
 
+use std::fmt;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::StatusCode;
+use futures::future::select_all;
+use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -61,6 +64,27 @@
     }
 }
 
+/// A request that was sent and whose response's head has not arrived in time. It may still arrive; dropping this
+/// cancels the endpoint's work.
+pub struct Pending {
+    choice: Choice,
+    connection: Connection,
+    flight: InFlight,
+    sent_at: Duration,
+    response: Pin<Box<dyn Future<Output = Result<Response<Incoming>, Error>> + Send>>,
+    /// Whether the send was counted as one that may have run.
+    is_counted: bool,
+}
+
+impl fmt::Debug for Pending {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Pending")
+            .field("choice", &self.choice)
+            .field("sent_at", &self.sent_at)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Outcome of a send.
 #[derive(Debug)]
 pub enum Outcome {
@@ -73,7 +97,7 @@
     /// The request may have run; its response is lost.
     Broken,
     /// The request may run; no response came in time.
-    TimedOut,
+    TimedOut(Box<Pending>),
 }
 
 impl Outcome {
@@ -84,7 +108,7 @@
             Self::Rejected => "turned_away",
             Self::Unsent => "unsent",
             Self::Broken => "broken",
-            Self::TimedOut => "silent",
+            Self::TimedOut(_) => "silent",
         }
     }
 }
@@ -190,40 +214,83 @@
             return Outcome::Unsent;
         }
         let request = (node.codec.dispatch)(&self.call, &self.dispatch(choice, resume_after));
-        let sent_at = node.now();
         self.phase = Phase::Sent;
-        let head_timeout = self.head_timeout().min(max_wait);
-        let response = match timeout(head_timeout, connection.send(request)).await {
-            Ok(Err(Error::Unsent)) => return Outcome::Unsent,
-            response => response,
+        let pending = Pending {
+            choice: choice.clone(),
+            sent_at: node.now(),
+            response: Box::pin(connection.start(request)),
+            connection,
+            flight,
+            is_counted: false,
         };
-        self.delivered += 1;
-        let (event, detail, outcome) = match response {
-            Ok(Ok(response)) => {
+        self.receive(pending, max_wait).await
+    }
+
+    /// Waits for the head of the response to a request that was just sent.
+    async fn receive(&mut self, mut pending: Pending, max_wait: Duration) -> Outcome {
+        let head_timeout = self.head_timeout().min(max_wait);
+        match timeout(head_timeout, &mut pending.response).await {
+            Ok(Err(Error::Unsent)) => Outcome::Unsent,
+            Ok(response) => {
+                self.delivered += 1;
+                self.settle(pending, response).await
+            }
+            Err(_) => {
+                self.delivered += 1;
+                pending.is_counted = true;
+                self.count_run(&pending.choice);
+                let tracker = &pending.choice.endpoint.tracker;
+                tracker.lock().health.silent(self.node.now());
+                let detail = format!("waited_ms={}", head_timeout.as_millis());
+                self.log("silent", &pending.choice, &detail);
+                Outcome::TimedOut(Box::new(pending))
+            }
+        }
+    }
+
+    /// Waits for the first response to the requests that were sent before; `None` if none comes within `max_wait`.
+    pub async fn receive_any(
+        &mut self,
+        pending: &mut Vec<Pending>,
+        max_wait: Duration,
+    ) -> Option<Outcome> {
+        let responses = pending.iter_mut().map(|pending| &mut pending.response);
+        let (response, index, _) = timeout(max_wait, select_all(responses)).await.ok()?;
+        let answered = pending.swap_remove(index);
+        Some(self.settle(answered, response).await)
+    }
+
+    /// Evaluates the response to a request that was sent.
+    async fn settle(
+        &mut self,
+        pending: Pending,
+        response: Result<Response<Incoming>, Error>,
+    ) -> Outcome {
+        if pending.is_counted {
+            self.runs -= 1;
+        }
+        let choice = pending.choice;
+        match response {
+            Ok(response) => {
                 let (parts, body) = response.into_parts();
                 let exchange = Exchange {
                     endpoint: choice.endpoint.clone(),
-                    connection,
-                    flight,
-                    head: (node.codec.head)(&parts),
+                    connection: pending.connection,
+                    flight: pending.flight,
+                    head: (self.node.codec.head)(&parts),
                     parts,
                     body,
                 };
-                return self.classify(choice, exchange, sent_at).await;
+                self.classify(&choice, exchange, pending.sent_at).await
             }
-            Ok(Err(error)) => ("broken", error.to_string(), Outcome::Broken),
-            Err(_) => {
-                let detail = format!("waited_ms={}", head_timeout.as_millis());
-                ("silent", detail, Outcome::TimedOut)
+            Err(error) => {
+                let tracker = &choice.endpoint.tracker;
+                tracker.lock().health.failed(self.node.now());
+                self.count_run(&choice);
+                self.log("broken", &choice, &error.to_string());
+                Outcome::Broken
             }
-        };
-        match outcome {
-            Outcome::TimedOut => tracker.lock().health.silent(node.now()),
-            _ => tracker.lock().health.failed(node.now()),
         }
-        self.count_run(choice);
-        self.log(event, choice, &detail);
-        outcome
     }
 
     /// Takes an idle connection to an endpoint or opens one; `None` if the endpoint is unreachable.
@@ -314,15 +381,26 @@
     /// Timeout of the response head; shorter if the request can be retried elsewhere.
     fn head_timeout(&self) -> Duration {
         let route = &self.admission.route;
-        let retryable = route.kind.is_repeatable() && self.runs + 1 < route.attempts;
-        match retryable {
-            true => (route.objective * 5 / 2)
-                .max(MIN_HEAD_TIMEOUT)
-                .min(self.remaining()),
+        match route.kind.is_repeatable() && self.runs + 1 < route.attempts {
+            true => self.patience(),
             false => self.remaining(),
         }
     }
 
+    /// Time to wait for the head of a response while there are other endpoints to turn to.
+    fn patience(&self) -> Duration {
+        let patience = self.admission.route.objective * 5 / 2;
+        patience.max(MIN_HEAD_TIMEOUT).min(self.remaining())
+    }
+
+    /// Time to wait for the next endpoint's response before the `silent` ones are listened to again.
+    pub fn max_wait(&self, silent: &[Pending]) -> Duration {
+        match silent.is_empty() {
+            true => self.remaining(),
+            false => self.patience(),
+        }
+    }
+
     fn note_rejection(&self, choice: &Choice, head: &Head, parts: &http::response::Parts) {
         let now = self.node.now();
         let entry = &choice.endpoint.entry;
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -128,11 +128,24 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
-        let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| match error.take_message() {
-            Some(_) => Error::Unsent,
-            None => Error::Broken(error.into_error()),
-        })
+        self.start(request).await
+    }
+
+    /// Sends a request; the returned future, which does not borrow the connection, waits for the head of the response.
+    ///
+    /// # Errors
+    /// As those of [`send`](Self::send).
+    pub fn start(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> impl Future<Output = Result<Response<Incoming>, Error>> + Send + use<> {
+        let sent = self.sender.try_send_request(request);
+        async move {
+            sent.await.map_err(|mut error| match error.take_message() {
+                Some(_) => Error::Unsent,
+                None => Error::Broken(error.into_error()),
+            })
+        }
     }
 
     /// Sends a request and reads the whole response.
