Listen to a silent endpoint while a broken stream looks for another one

Found by looking for the same cause elsewhere: a stream whose endpoint broke off asks up to three others, and dropped one that did not respond within 2.5 objectives although nobody else was left.

broken_stream_resumes_at_an_endpoint_that_responds_late failed before (the stream was cut) and passes.

--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -9,9 +9,9 @@
 use hyper::body::Frame;
 use tokio::time::{sleep, timeout};
 
-use super::choose::{self, Unavailable};
+use super::choose::{self, Choice, Unavailable};
 use super::relay::{Body, forwarded_parts};
-use super::send::{Context, Exchange, Outcome, Phase};
+use super::send::{Context, Exchange, Outcome, Pending, Phase};
 
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -383,44 +383,69 @@
         resumed
     }
 
-    /// Resumes at another endpoint after the event `last`, as long as the caller is expected to wait.
+    /// Resumes at another endpoint after the event `last`. Endpoints that are silent are listened to until one has begun
+    /// to respond.
     async fn reconnect(&mut self, last: Option<u64>) -> Result<(), &'static str> {
-        let node = self.ctx.node.clone();
-        let deadline = node.now() + self.caller_patience();
+        let deadline = self.ctx.node.now() + self.caller_patience();
         let mut attempts = 0;
-        while attempts < MAX_RESUMES {
-            if !self.ctx.can_retry() {
-                return Err("may_not_repeat");
+        let mut silent: Vec<Pending> = Vec::new();
+        loop {
+            let outcome = match self.next_endpoint(attempts, deadline).await {
+                Ok(choice) => {
+                    attempts += 1;
+                    let max_wait = self.ctx.max_wait(&silent);
+                    self.ctx.send(&choice, last, max_wait).await
+                }
+                Err(reason) if silent.is_empty() => return Err(reason),
+                Err(_) => {
+                    let max_wait = self.ctx.remaining();
+                    let outcome = self.ctx.receive_any(&mut silent, max_wait).await;
+                    outcome.ok_or("silent")?
+                }
+            };
+            match outcome {
+                Outcome::Answered(exchange) if exchange.parts.status.is_success() => {
+                    let node = &self.ctx.node;
+                    node.meter.resumes.inc();
+                    self.silent_since = node.now();
+                    self.exchange = Some(exchange);
+                    return Ok(());
+                }
+                Outcome::TimedOut(pending) => silent.push(*pending),
+                _ => {}
             }
+        }
+    }
+
+    /// Chooses the endpoint at which the stream is to resume and takes the retry that this needs, as long as the caller
+    /// is expected to wait.
+    async fn next_endpoint(
+        &mut self,
+        attempts: usize,
+        deadline: Duration,
+    ) -> Result<Choice, &'static str> {
+        if attempts >= MAX_RESUMES {
+            return Err("turned_away");
+        }
+        if !self.ctx.can_retry() {
+            return Err("may_not_repeat");
+        }
+        loop {
             let ctx = &self.ctx;
-            let choice = match choose::choose(&node, &ctx.admission, &ctx.call, &ctx.tried) {
-                Ok(choice) => choice,
-                Err(cause) => {
-                    if cause == Unavailable::Adapter {
-                        node.demand.want(&ctx.call);
-                    }
-                    if cause.is_lasting() || node.now() + RETRY_INTERVAL > deadline {
-                        return Err(cause.reason());
-                    }
-                    sleep(RETRY_INTERVAL).await;
-                    continue;
-                }
+            let node = &ctx.node;
+            let cause = match choose::choose(node, &ctx.admission, &ctx.call, &ctx.tried) {
+                Ok(choice) if ctx.take_retry() => return Ok(choice),
+                Ok(_) => return Err("retry_budget"),
+                Err(cause) => cause,
             };
-            if !self.ctx.take_retry() {
-                return Err("retry_budget");
+            if cause == Unavailable::Adapter {
+                node.demand.want(&ctx.call);
             }
-            attempts += 1;
-            let max_wait = self.ctx.remaining();
-            if let Outcome::Answered(exchange) = self.ctx.send(&choice, last, max_wait).await
-                && exchange.parts.status.is_success()
-            {
-                node.meter.resumes.inc();
-                self.silent_since = node.now();
-                self.exchange = Some(exchange);
-                return Ok(());
+            if cause.is_lasting() || node.now() + RETRY_INTERVAL > deadline {
+                return Err(cause.reason());
             }
+            sleep(RETRY_INTERVAL).await;
         }
-        Err("turned_away")
     }
 
     /// Time for which the caller is expected to wait for the next event.
