--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -9,9 +9,9 @@
 use hyper::body::Frame;
 use tokio::time::{sleep, timeout};
 
-use super::choose::{self, Unavailable};
+use super::choose::{self, Choice, Unavailable};
 use super::relay::{Body, forwarded_parts};
-use super::send::{Context, Exchange, Outcome, Phase};
+use super::send::{Context, Exchange, Outcome, Pending, Phase};
 
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -124,8 +124,8 @@
     first_event_after: Option<Duration>,
     last_event_at: Duration,
     longest_pause: Duration,
-    /// Time at which the current endpoint last sent something.
-    last_received: Duration,
+    /// Time from which the current endpoint's silence is counted.
+    silent_since: Duration,
 }
 
 /// Returns a response that forwards an endpoint's stream.
@@ -136,7 +136,7 @@
         .count_outcome("answered", parts.status.as_u16());
     let forwarder = Forwarder {
         events: Events::after(ctx.call.last_event),
-        last_received: ctx.node.now(),
+        silent_since: ctx.node.now(),
         ctx,
         exchange: Some(Box::new(exchange)),
         first_event_after: None,
@@ -188,16 +188,9 @@
                     }
                     return Ok(None);
                 }
-                // A silent endpoint may be busy with other requests; it is left only for one that can resume.
-                Received::TimedOut if !self.can_move() => {}
-                Received::TimedOut => {
-                    if !self.resume("stream_silent", true).await {
-                        self.ctx.node.meter.count_outcome("stream_silent", 0);
-                        return Err(std::io::Error::other("stream_silent"));
-                    }
-                }
+                Received::TimedOut => self.try_move().await,
                 Received::Failed(reason) => {
-                    if !self.resume(reason, false).await {
+                    if !self.resume(reason).await {
                         self.ctx.node.meter.count_outcome(reason, 0);
                         return Err(std::io::Error::other(reason));
                     }
@@ -228,7 +221,7 @@
             Ok(Some(Err(_))) => return Received::Failed("stream_broken"),
             Ok(Some(Ok(frame))) => frame,
         };
-        self.last_received = self.ctx.node.now();
+        self.silent_since = self.ctx.node.now();
         let Ok(data) = frame.into_data() else {
             return Received::Incomplete;
         };
@@ -242,7 +235,7 @@
     /// Time left before a silent endpoint is replaced.
     fn silence_timeout(&self) -> Duration {
         let longest = (self.ctx.admission.route.gap * SILENCE_GAPS).max(MIN_SILENCE);
-        let silent = self.ctx.node.now().saturating_sub(self.last_received);
+        let silent = self.ctx.node.now().saturating_sub(self.silent_since);
         longest.saturating_sub(silent).max(RETRY_INTERVAL)
     }
 
@@ -306,21 +299,61 @@
         });
     }
 
-    /// Whether another endpoint has room to resume the stream; takes the retry that this needs.
-    fn can_move(&self) -> bool {
-        let Some(exchange) = &self.exchange else {
-            return false;
+    /// Moves the stream from a silent endpoint to another one that takes it. The silent one may only be busy with other
+    /// requests, so its connection is kept until the other one has begun to respond.
+    async fn try_move(&mut self) {
+        let Some(silent) = self.exchange.as_ref().map(|e| e.endpoint.clone()) else {
+            return;
         };
-        let ctx = &self.ctx;
-        let mut tried = ctx.tried.clone();
-        tried.push(exchange.endpoint.entry.id.clone());
-        ctx.can_retry()
-            && choose::has_room(&ctx.node, &ctx.admission, &ctx.call, &tried)
-            && ctx.take_retry()
+        let max_wait = self.caller_patience();
+        if max_wait.is_zero() {
+            return;
+        }
+        let ctx = &mut self.ctx;
+        let node = ctx.node.clone();
+        let mut excluded = ctx.tried.clone();
+        excluded.push(silent.entry.id.clone());
+        if !ctx.can_retry() || !choose::has_room(&node, &ctx.admission, &ctx.call, &excluded) {
+            return;
+        }
+        let choice = choose::choose(&node, &ctx.admission, &ctx.call, &excluded);
+        let Ok(choice) = choice else {
+            return;
+        };
+        if !ctx.take_retry() {
+            return;
+        }
+        let silence = node.now().saturating_sub(self.silent_since);
+        let last = self.events.last();
+        let outcome = ctx.send(&choice, last, max_wait).await;
+        let (is_moved, because) = match outcome {
+            Outcome::Answered(exchange) if exchange.parts.status.is_success() => {
+                silent.tracker.lock().health.failed(node.now());
+                node.meter.resumes.inc();
+                self.events.discard_partial();
+                self.exchange = Some(exchange);
+                (true, "-")
+            }
+            outcome => (false, outcome.reason()),
+        };
+        self.silent_since = node.now();
+        self.ctx.phase = Phase::Reading;
+        node.journal.line(|| {
+            spdlog::info!("stream: silent", kv: {
+                request: = self.ctx.call.id,
+                endpoint: = silent.entry.id,
+                other: = choice.endpoint.entry.id,
+                last_event = last.map_or(-1, |last| last as i64),
+                moved = is_moved,
+                because = because,
+                silent_ms = silence.as_millis() as u64,
+                runs = self.ctx.runs,
+            });
+        });
     }
 
-    /// Resumes at another endpoint after the last whole event; `retry_taken` means that the first send has its retry.
-    async fn resume(&mut self, reason: &'static str, retry_taken: bool) -> bool {
+    /// Resumes a broken stream at another endpoint after the last whole event.
+    async fn resume(&mut self, reason: &'static str) -> bool {
         let Some(exchange) = self.exchange.take() else {
             return false;
         };
@@ -331,9 +364,9 @@
         drop(exchange);
         self.events.discard_partial();
         let last = self.events.last();
-        let silent = node.now().saturating_sub(self.last_received);
+        let silent = node.now().saturating_sub(self.silent_since);
         self.ctx.tried.push(broken.clone());
-        let outcome = self.reconnect(last, retry_taken).await;
+        let outcome = self.reconnect(last).await;
         let resumed = outcome.is_ok();
         node.journal.line(|| {
             spdlog::info!("stream: broken", kv: {
@@ -350,48 +383,69 @@
         resumed
     }
 
-    /// Resumes at another endpoint after the event `last`, as long as the caller is expected to wait.
-    async fn reconnect(
-        &mut self,
-        last: Option<u64>,
-        mut retry_taken: bool,
-    ) -> Result<(), &'static str> {
-        let node = self.ctx.node.clone();
-        let deadline = node.now() + self.caller_patience();
+    /// Resumes at another endpoint after the event `last`. Endpoints that are silent are listened to until one has begun
+    /// to respond.
+    async fn reconnect(&mut self, last: Option<u64>) -> Result<(), &'static str> {
+        let deadline = self.ctx.node.now() + self.caller_patience();
         let mut attempts = 0;
-        while attempts < MAX_RESUMES {
-            if !self.ctx.can_retry() {
-                return Err("may_not_repeat");
+        let mut silent: Vec<Pending> = Vec::new();
+        loop {
+            let outcome = match self.next_endpoint(attempts, deadline).await {
+                Ok(choice) => {
+                    attempts += 1;
+                    let max_wait = self.ctx.max_wait(&silent);
+                    self.ctx.send(&choice, last, max_wait).await
+                }
+                Err(reason) if silent.is_empty() => return Err(reason),
+                Err(_) => {
+                    let max_wait = self.ctx.remaining();
+                    let outcome = self.ctx.receive_any(&mut silent, max_wait).await;
+                    outcome.ok_or("silent")?
+                }
+            };
+            match outcome {
+                Outcome::Answered(exchange) if exchange.parts.status.is_success() => {
+                    let node = &self.ctx.node;
+                    node.meter.resumes.inc();
+                    self.silent_since = node.now();
+                    self.exchange = Some(exchange);
+                    return Ok(());
+                }
+                Outcome::TimedOut(pending) => silent.push(*pending),
+                _ => {}
             }
+        }
+    }
+
+    /// Chooses the endpoint at which the stream is to resume and takes the retry that this needs, as long as the caller
+    /// is expected to wait.
+    async fn next_endpoint(
+        &mut self,
+        attempts: usize,
+        deadline: Duration,
+    ) -> Result<Choice, &'static str> {
+        if attempts >= MAX_RESUMES {
+            return Err("turned_away");
+        }
+        if !self.ctx.can_retry() {
+            return Err("may_not_repeat");
+        }
+        loop {
             let ctx = &self.ctx;
-            let choice = match choose::choose(&node, &ctx.admission, &ctx.call, &ctx.tried) {
-                Ok(choice) => choice,
-                Err(cause) => {
-                    if cause == Unavailable::Adapter {
-                        node.demand.want(&ctx.call);
-                    }
-                    if cause.is_lasting() || node.now() + RETRY_INTERVAL > deadline {
-                        return Err(cause.reason());
-                    }
-                    sleep(RETRY_INTERVAL).await;
-                    continue;
-                }
+            let node = &ctx.node;
+            let cause = match choose::choose(node, &ctx.admission, &ctx.call, &ctx.tried) {
+                Ok(choice) if ctx.take_retry() => return Ok(choice),
+                Ok(_) => return Err("retry_budget"),
+                Err(cause) => cause,
             };
-            if !retry_taken && !self.ctx.take_retry() {
-                return Err("retry_budget");
+            if cause == Unavailable::Adapter {
+                node.demand.want(&ctx.call);
             }
-            retry_taken = false;
-            attempts += 1;
-            if let Outcome::Answered(exchange) = self.ctx.send(&choice, last).await
-                && exchange.parts.status.is_success()
-            {
-                node.meter.resumes.inc();
-                self.last_received = node.now();
-                self.exchange = Some(exchange);
-                return Ok(());
+            if cause.is_lasting() || node.now() + RETRY_INTERVAL > deadline {
+                return Err(cause.reason());
             }
+            sleep(RETRY_INTERVAL).await;
         }
-        Err("turned_away")
     }
 
     /// Time for which the caller is expected to wait for the next event.
