Hold back the head of a stream until its first event

Its 200 had been decided on, and where the failure came with the first poll of the body, the connection closed before the head was written.

Nothing is promised to the caller before there is an event to forward; until then a failure is answered with 502 or 504. The time to the first event stays the same.

stream_without_an_event_is_answered_with_an_error failed before (no response) and passes.

--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -12,7 +12,7 @@
 use super::Node;
 use super::admit::{Admission, Refusal};
 use super::choose::{self, Choice, Unavailable};
-use super::send::{Context, Exchange, FULL_PAUSE, MIN_REMAINING, Outcome, Pending, Phase};
+use super::send::{Context, Exchange, FULL_PAUSE, Outcome, Pending, Phase};
 use super::stream;
 use crate::protocol::connection;
 use crate::state::call::Call;
@@ -56,7 +56,7 @@
     // Endpoints that were silent so far; they are listened to until one has answered.
     let mut silent: Vec<Pending> = Vec::new();
     loop {
-        if ctx.remaining() < MIN_REMAINING {
+        if ctx.is_out_of_time() {
             let refusal = Refusal::busy("out_of_time", RETRY_INTERVAL);
             return fail(&mut ctx, failure, refusal);
         }
@@ -80,7 +80,15 @@
             Outcome::Answered(exchange) => {
                 let retry = exchange.parts.status.is_server_error() && ctx.can_retry();
                 if ctx.admission.route.kind.is_streaming() && exchange.parts.status.is_success() {
-                    return stream::answer(ctx, *exchange);
+                    // Endpoints that were silent must not go on beside the one that has begun.
+                    silent.clear();
+                    return match stream::answer(ctx, *exchange).await {
+                        Ok(response) => response,
+                        Err((mut ctx, reason)) => {
+                            let Refusal { status, .. } = response_lost(ctx.is_out_of_time());
+                            fail(&mut ctx, failure, Refusal::invalid(status, reason))
+                        }
+                    };
                 }
                 let endpoint = exchange.endpoint.entry.id.clone();
                 match read_response(node, &ctx, *exchange).await {
@@ -219,7 +227,7 @@
     let refusal = match ctx.runs {
         0 => refusal,
         // A refusal with `Retry-After` promises that the request has not run, which would be false.
-        _ if refusal.retry_after.is_some() => response_lost(ctx.remaining() < MIN_REMAINING),
+        _ if refusal.retry_after.is_some() => response_lost(ctx.is_out_of_time()),
         _ => refusal,
     };
     if ctx.runs == 0 {
@@ -243,10 +251,15 @@
     refusal_response(refusal)
 }
 
+/// Body without content.
+pub fn empty_body() -> Body {
+    let body = Full::new(Bytes::new()).map_err(|never| match never {});
+    body.boxed_unsync()
+}
+
 /// Response of a refusal, with an empty body.
 pub fn refusal_response(refusal: &Refusal) -> Response<Body> {
-    let body = Full::new(Bytes::new()).map_err(|never| match never {});
-    let mut response = Response::new(body.boxed_unsync());
+    let mut response = Response::new(empty_body());
     *response.status_mut() = refusal.status;
     if let Some(wait) = refusal.retry_after {
         let seconds = format!("{:.3}", wait.as_secs_f64());
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -25,7 +25,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// Minimum remaining time for a request to be sent.
-pub const MIN_REMAINING: Duration = Duration::from_millis(20);
+const MIN_REMAINING: Duration = Duration::from_millis(20);
 
 /// Pause of an endpoint that rejected a request because it is full.
 pub const FULL_PAUSE: Duration = Duration::from_millis(100);
@@ -176,11 +176,16 @@
         self.admission.deadline.saturating_sub(self.node.now())
     }
 
+    /// Whether too little time is left to send the request.
+    pub fn is_out_of_time(&self) -> bool {
+        self.remaining() < MIN_REMAINING
+    }
+
     /// Whether the request can be sent again although it may have run.
     pub fn can_retry(&self) -> bool {
         self.admission.route.kind.is_repeatable()
             && self.runs < self.admission.route.attempts
-            && self.remaining() > MIN_REMAINING
+            && !self.is_out_of_time()
     }
 
     /// Takes a retry from the budget, unless nothing reached an endpoint yet; returns whether the request may be sent.
@@ -209,7 +214,7 @@
         let Some(mut connection) = self.connect(choice).await else {
             return Outcome::Unsent;
         };
-        if self.remaining() < MIN_REMAINING {
+        if self.is_out_of_time() {
             // The deadline has passed while the connection was opened, or while this process did not run.
             return Outcome::Unsent;
         }
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -3,14 +3,16 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures::stream::unfold;
+use futures::StreamExt;
+use futures::future::ready;
+use futures::stream::{once, unfold};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::time::{sleep, timeout};
 
 use super::choose::{self, Choice, Unavailable};
-use super::relay::{Body, forwarded_parts};
+use super::relay::{Body, empty_body, forwarded_parts};
 use super::send::{Context, Exchange, Outcome, Pending, Phase};
 
 /// Maximum size of an event, in bytes.
@@ -128,13 +130,16 @@
     silent_since: Duration,
 }
 
-/// Returns a response that forwards an endpoint's stream.
-pub fn answer(ctx: Context, exchange: Exchange) -> Response<Body> {
+/// Waits for the first event of an endpoint's stream and returns a response that forwards the stream.
+///
+/// # Errors
+/// The request and the reason, if the stream broke before its first event and no endpoint resumed it.
+pub async fn answer(
+    ctx: Context,
+    exchange: Exchange,
+) -> Result<Response<Body>, (Context, &'static str)> {
     let parts = forwarded_parts(exchange.parts.clone());
-    ctx.node
-        .meter
-        .count_outcome("answered", parts.status.as_u16());
-    let forwarder = Forwarder {
+    let mut forwarder = Forwarder {
         events: Events::after(ctx.call.last_event),
         silent_since: ctx.node.now(),
         ctx,
@@ -143,7 +148,18 @@
         last_event_at: Duration::ZERO,
         longest_pause: Duration::ZERO,
     };
-    let chunks = unfold(Some(forwarder), |state| async move {
+    let first = match forwarder.next().await {
+        Ok(first) => first,
+        Err(reason) => return Err((forwarder.ctx, reason)),
+    };
+    let ctx = &mut forwarder.ctx;
+    let status = parts.status.as_u16();
+    ctx.node.meter.count_outcome("answered", status);
+    let Some(first) = first else {
+        ctx.phase = Phase::Settled;
+        return Ok(Response::from_parts(parts, empty_body()));
+    };
+    let rest = unfold(Some(forwarder), |state| async move {
         let mut forwarder = state?;
         match forwarder.next().await {
             Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(forwarder))),
@@ -151,13 +167,16 @@
                 forwarder.ctx.phase = Phase::Settled;
                 None
             }
-            Err(error) => {
+            Err(reason) => {
                 forwarder.ctx.phase = Phase::Settled;
-                Some((Err(error), None))
+                forwarder.ctx.node.meter.count_outcome(reason, 0);
+                Some((Err(std::io::Error::other(reason)), None))
             }
         }
     });
-    Response::from_parts(parts, BodyExt::boxed_unsync(StreamBody::new(chunks)))
+    let chunks = once(ready(Ok(Frame::data(first)))).chain(rest);
+    let body = BodyExt::boxed_unsync(StreamBody::new(chunks));
+    Ok(Response::from_parts(parts, body))
 }
 
 /// Result of waiting for the next part of a stream.
@@ -170,7 +189,8 @@
 }
 
 impl Forwarder {
-    async fn next(&mut self) -> Result<Option<Bytes>, std::io::Error> {
+    /// Next events; `None` at the end of the stream.
+    async fn next(&mut self) -> Result<Option<Bytes>, &'static str> {
         loop {
             match self.receive().await {
                 Received::Events(bytes) => {
@@ -191,8 +211,7 @@
                 Received::TimedOut => self.try_move().await,
                 Received::Failed(reason) => {
                     if !self.resume(reason).await {
-                        self.ctx.node.meter.count_outcome(reason, 0);
-                        return Err(std::io::Error::other(reason));
+                        return Err(reason);
                     }
                 }
             }
