Listen to a silent stream's endpoint while another one is asked

With two attempts the wait lasted as long as a caller waits, so a stream whose endpoint went on after 1.2 s stood still for 2 s.

Now both are listened to and the first one that sends something goes on; the other is dropped. A send counts as a run from the moment at which it is written until its response says otherwise, so that it can be dropped at any time. An endpoint that was left is not asked again, a broken stream listens to all endpoints that it has asked while it looks for more, and nothing is recorded about an endpoint before a retry for the send is taken. Moves are counted by outcome.

--- a/src/serving/choose.rs
+++ b/src/serving/choose.rs
@@ -38,6 +38,10 @@
     Cold,
     /// Endpoints are full.
     Full,
+    /// An endpoint can be used, but no retry is left to send the request again.
+    Retry,
+    /// The request was sent as often as it may be.
+    Attempts,
 }
 
 impl Unavailable {
@@ -50,12 +54,17 @@
             Self::Paused => "endpoints_paused",
             Self::Cold => "endpoints_cold",
             Self::Full => "endpoints_full",
+            Self::Retry => "retry_budget",
+            Self::Attempts => "may_not_repeat",
         }
     }
 
-    /// Whether only loading weights or a new endpoint can help.
+    /// Whether waiting for a moment can't help.
     pub fn is_lasting(self) -> bool {
-        matches!(self, Self::Endpoint | Self::Model)
+        matches!(
+            self,
+            Self::Endpoint | Self::Model | Self::Retry | Self::Attempts
+        )
     }
 }
 
@@ -70,9 +79,25 @@
     pub uncached_tokens: u64,
     /// Number of candidates.
     pub compared: usize,
+    /// Chained digests of the prompt's parts.
+    prompt: Option<Vec<(u64, u32)>>,
 }
 
-/// Chooses an endpoint for a call, excluding those that were tried.
+impl Choice {
+    /// Records that the request is about to be sent to the endpoint.
+    pub fn record(&self, now: Duration) {
+        let mut state = self.endpoint.tracker.lock();
+        if now < state.cold_until {
+            state.warmup.sent(now);
+        }
+        if let Some(prompt) = &self.prompt {
+            state.record_prompt(prompt);
+        }
+    }
+}
+
+/// Chooses an endpoint for a call, excluding those that were tried. Nothing is recorded until
+/// [`Choice::record`] is called.
 ///
 /// # Errors
 /// The [`Unavailable`] of the endpoint that came closest to being usable.
@@ -107,20 +132,13 @@
     let candidates: Vec<Candidate> = options.iter().map(|(_, candidate)| *candidate).collect();
     let index = choice::choose(&candidates, rand::rng().random()).ok_or(cause)?;
     let (endpoint, candidate) = options.swap_remove(index);
-    let mut state = endpoint.tracker.lock();
-    if now < state.cold_until {
-        state.warmup.sent(now);
-    }
-    if let Some(parts) = &parts {
-        state.record_prompt(parts);
-    }
-    drop(state);
     Ok(Choice {
         endpoint: endpoint.clone(),
         uncached_tokens: (candidate.prefill_tokens as u64)
             .saturating_sub(endpoint.tracker.pending_prompt_tokens()),
         candidate,
         compared: candidates.len(),
+        prompt: parts,
     })
 }
 
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -18,6 +18,13 @@
     pub status: u16,
 }
 
+/// Labels of the counter of moves.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Move {
+    /// How the attempt ended.
+    pub outcome: &'static str,
+}
+
 /// Metrics of the daemon.
 #[derive(Debug)]
 pub struct Meter {
@@ -29,6 +36,8 @@
     pub retries: Counter,
     /// Streams resumed at another endpoint.
     pub resumes: Counter,
+    /// Attempts to move streams from silent endpoints, by how they ended.
+    pub moves: Family<Move, Counter>,
     /// Streams that completed but were not on time.
     pub late: Counter,
     /// New connections to endpoints.
@@ -56,6 +65,7 @@
             first_byte,
             retries: metric::register(registry, "retries", "Requests sent again"),
             resumes: metric::register(registry, "resumes", "Streams resumed elsewhere"),
+            moves: metric::register(registry, "moves", "Moves of streams from silent endpoints"),
             late: metric::register(registry, "late", "Complete streams not on time"),
             connects: metric::register(registry, "connects", "New connections to endpoints"),
             store_calls: metric::register(registry, "store_calls", "Calls to the store"),
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -11,7 +11,7 @@
 
 use super::Node;
 use super::admit::{Admission, Refusal};
-use super::choose::{self, Choice, Unavailable};
+use super::choose::{Choice, Unavailable};
 use super::send::{Context, Exchange, FULL_PAUSE, Outcome, Pending, Phase};
 use super::stream;
 use crate::protocol::connection;
@@ -79,9 +79,11 @@
         match outcome {
             Outcome::Answered(exchange) => {
                 let retry = exchange.parts.status.is_server_error() && ctx.can_retry();
-                if ctx.admission.route.kind.is_streaming() && exchange.parts.status.is_success() {
-                    // Endpoints that were silent must not go on beside the one that has begun.
+                if !retry {
+                    // The others must not go on beside the endpoint that has answered.
                     silent.clear();
+                }
+                if ctx.admission.route.kind.is_streaming() && exchange.parts.status.is_success() {
                     return match stream::answer(ctx, *exchange).await {
                         Ok(response) => response,
                         Err((mut ctx, reason)) => {
@@ -90,13 +92,11 @@
                         }
                     };
                 }
-                let endpoint = exchange.endpoint.entry.id.clone();
                 match read_response(node, &ctx, *exchange).await {
                     Some(response) if retry => failure = Some(response),
                     Some(response) => return complete(&mut ctx, response),
                     None => {}
                 }
-                ctx.tried.push(endpoint);
             }
             Outcome::TimedOut(pending) => silent.push(*pending),
             Outcome::Rejected | Outcome::Unsent | Outcome::Broken => {}
@@ -115,9 +115,8 @@
         return Err(Refusal::busy("turned_away", FULL_PAUSE * 3));
     }
     loop {
-        let cause = match choose::choose(&node, &ctx.admission, &ctx.call, &ctx.tried) {
-            Ok(choice) if ctx.take_retry() => return Ok(choice),
-            Ok(_) => return Err(Refusal::busy("retry_budget", FULL_PAUSE)),
+        let cause = match ctx.choose() {
+            Ok(choice) => return Ok(choice),
             Err(cause) => cause,
         };
         if ctx.delivered > 0 || !wait_for_endpoint(ctx, cause, wait_started).await {
@@ -144,7 +143,7 @@
             MAX_ADAPTER_WAIT
         }
         Unavailable::Paused | Unavailable::Cold => MAX_PAUSE_WAIT,
-        Unavailable::Endpoint | Unavailable::Model | Unavailable::Full => return false,
+        _ => return false,
     };
     let max_wait = max_wait.min(ctx.admission.route.objective / 2);
     if ctx.node.now() + RETRY_INTERVAL > (started + max_wait).min(ctx.admission.deadline) {
@@ -167,6 +166,7 @@
         Unavailable::Endpoint => Duration::from_millis(1500),
         Unavailable::Adapter => Duration::from_millis(300),
         Unavailable::Paused => Duration::from_millis(400),
+        Unavailable::Retry | Unavailable::Attempts => FULL_PAUSE,
         Unavailable::Cold | Unavailable::Full => {
             // Spread so that callers do not retry at the same time.
             let jitter = (node.now().subsec_micros() % 1000) + 500;
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -14,7 +14,7 @@
 
 use super::Node;
 use super::admit::Admission;
-use super::choose::Choice;
+use super::choose::{self, Choice, Unavailable};
 use super::endpoint::{Endpoint, InFlight};
 use super::journal;
 use crate::state::call::{Call, Dispatch, Head};
@@ -64,16 +64,20 @@
     }
 }
 
-/// A request that was sent and whose response's head has not arrived in time. It may still arrive; dropping this
-/// cancels the endpoint's work.
+/// A request that was sent and whose response's head has not arrived. Dropping it cancels the endpoint's work.
 pub struct Pending {
     choice: Choice,
     connection: Connection,
     flight: InFlight,
     sent_at: Duration,
     response: Pin<Box<dyn Future<Output = Result<Response<Incoming>, Error>> + Send>>,
-    /// Whether the send was counted as one that may have run.
-    is_counted: bool,
+}
+
+impl Pending {
+    /// Waits for the head of the response. No response is lost when the returned future is dropped.
+    pub async fn response(&mut self) -> Result<Response<Incoming>, Error> {
+        (&mut self.response).await
+    }
 }
 
 impl fmt::Debug for Pending {
@@ -200,54 +204,57 @@
         taken
     }
 
-    /// Sends the request to an endpoint and waits for the head of the response, `max_wait` at most. `resume_after` is
-    /// the event after which a stream resumes.
-    pub async fn send(
-        &mut self,
-        choice: &Choice,
-        resume_after: Option<u64>,
-        max_wait: Duration,
-    ) -> Outcome {
-        let node = self.node.clone();
-        let tracker = &choice.endpoint.tracker;
-        let flight = InFlight::open(tracker, choice.uncached_tokens);
-        let Some(mut connection) = self.connect(choice).await else {
-            return Outcome::Unsent;
-        };
+    /// Chooses an endpoint that was not tried and takes the retry that sending the request there needs.
+    ///
+    /// # Errors
+    /// The reason why the request can't be sent now.
+    pub fn choose(&self) -> Result<Choice, Unavailable> {
+        let choice = choose::choose(&self.node, &self.admission, &self.call, &self.tried)?;
+        if !self.take_retry() {
+            return Err(Unavailable::Retry);
+        }
+        choice.record(self.node.now());
+        Ok(choice)
+    }
+
+    /// Sends the request to an endpoint; `None` if nothing was sent. Until the response says otherwise, the request
+    /// counts as run there. `resume_after` is the event after which a stream resumes.
+    pub async fn open(&mut self, choice: &Choice, resume_after: Option<u64>) -> Option<Pending> {
+        let flight = InFlight::open(&choice.endpoint.tracker, choice.uncached_tokens);
+        let mut connection = self.connect(choice).await?;
         if self.is_out_of_time() {
             // The deadline has passed while the connection was opened, or while this process did not run.
-            return Outcome::Unsent;
+            return None;
         }
-        let request = (node.codec.dispatch)(&self.call, &self.dispatch(choice, resume_after));
+        let dispatch = self.dispatch(choice, resume_after);
+        let request = (self.node.codec.dispatch)(&self.call, &dispatch);
         self.phase = Phase::Sent;
-        let pending = Pending {
+        self.delivered += 1;
+        self.count_run(choice);
+        Some(Pending {
             choice: choice.clone(),
-            sent_at: node.now(),
+            sent_at: self.node.now(),
             response: Box::pin(connection.start(request)),
             connection,
             flight,
-            is_counted: false,
-        };
-        self.receive(pending, max_wait).await
+        })
     }
 
-    /// Waits for the head of the response to a request that was just sent.
-    async fn receive(&mut self, mut pending: Pending, max_wait: Duration) -> Outcome {
+    /// Sends the request to an endpoint and waits for the head of the response, `max_wait` at most.
+    pub async fn send(
+        &mut self,
+        choice: &Choice,
+        resume_after: Option<u64>,
+        max_wait: Duration,
+    ) -> Outcome {
+        let Some(mut pending) = self.open(choice, resume_after).await else {
+            return Outcome::Unsent;
+        };
         let head_timeout = self.head_timeout().min(max_wait);
-        match timeout(head_timeout, &mut pending.response).await {
-            Ok(Err(Error::Unsent)) => Outcome::Unsent,
-            Ok(response) => {
-                self.delivered += 1;
-                self.settle(pending, response).await
-            }
+        match timeout(head_timeout, pending.response()).await {
+            Ok(response) => self.settle(pending, response).await,
             Err(_) => {
-                self.delivered += 1;
-                pending.is_counted = true;
-                self.count_run(&pending.choice);
-                let tracker = &pending.choice.endpoint.tracker;
-                tracker.lock().health.silent(self.node.now());
-                let detail = format!("waited_ms={}", head_timeout.as_millis());
-                self.log("silent", &pending.choice, &detail);
+                self.note_silence(&pending);
                 Outcome::TimedOut(Box::new(pending))
             }
         }
@@ -266,14 +273,12 @@
     }
 
     /// Evaluates the response to a request that was sent.
-    async fn settle(
+    pub async fn settle(
         &mut self,
         pending: Pending,
         response: Result<Response<Incoming>, Error>,
     ) -> Outcome {
-        if pending.is_counted {
-            self.runs -= 1;
-        }
+        self.runs -= 1;
         let choice = pending.choice;
         match response {
             Ok(response) => {
@@ -288,6 +293,12 @@
                 };
                 self.classify(&choice, exchange, pending.sent_at).await
             }
+            Err(Error::Unsent) => {
+                self.delivered -= 1;
+                let id = &choice.endpoint.entry.id;
+                self.tried.retain(|tried| tried != id);
+                Outcome::Unsent
+            }
             Err(error) => {
                 let tracker = &choice.endpoint.tracker;
                 tracker.lock().health.failed(self.node.now());
@@ -298,6 +309,18 @@
         }
     }
 
+    /// Records that an endpoint has not responded. A wait that was cut short says nothing about its health.
+    fn note_silence(&self, pending: &Pending) {
+        let now = self.node.now();
+        let waited = now.saturating_sub(pending.sent_at);
+        if waited >= self.patience() {
+            let tracker = &pending.choice.endpoint.tracker;
+            tracker.lock().health.silent(now);
+        }
+        let detail = format!("waited_ms={}", waited.as_millis());
+        self.log("silent", &pending.choice, &detail);
+    }
+
     /// Takes an idle connection to an endpoint or opens one; `None` if the endpoint is unreachable.
     async fn connect(&mut self, choice: &Choice) -> Option<Connection> {
         let node = &self.node;
@@ -360,7 +383,6 @@
         }
         if head.not_run {
             self.note_rejection(choice, head, &exchange.parts);
-            self.tried.push(choice.endpoint.entry.id.clone());
             reuse_after_rejection(&node, exchange).await;
             return Outcome::Rejected;
         }
@@ -383,10 +405,10 @@
         Outcome::Answered(Box::new(exchange))
     }
 
-    /// Timeout of the response head; shorter if the request can be retried elsewhere.
+    /// Timeout of the response head of a request that was just sent; shorter if it can be retried elsewhere.
     fn head_timeout(&self) -> Duration {
         let route = &self.admission.route;
-        match route.kind.is_repeatable() && self.runs + 1 < route.attempts {
+        match route.kind.is_repeatable() && self.runs < route.attempts {
             true => self.patience(),
             false => self.remaining(),
         }
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -4,16 +4,19 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
-use futures::future::ready;
+use futures::future::{pending, ready};
 use futures::stream::{once, unfold};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use hyper::body::{Frame, Incoming};
 use tokio::time::{sleep, timeout};
 
 use super::choose::{self, Choice, Unavailable};
+use super::meter::Move;
 use super::relay::{Body, empty_body, forwarded_parts};
 use super::send::{Context, Exchange, Outcome, Pending, Phase};
+use crate::state::record::Name;
+use crate::transport::exchange;
 
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -30,6 +33,9 @@
 /// Interval at which an endpoint to resume at is looked for.
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Minimum time that another endpoint has to take over a stream.
+const MIN_MOVE_TIME: Duration = Duration::from_millis(200);
+
 /// Minimum gap in a stream after which callers give up.
 const MIN_CALLER_PATIENCE: Duration = Duration::from_secs(2);
 
@@ -128,6 +134,33 @@
     longest_pause: Duration,
     /// Time from which the current endpoint's silence is counted.
     silent_since: Duration,
+    /// Attempt to move the stream to another endpoint.
+    moving: Option<Moving>,
+}
+
+/// A stream that was sent to another endpoint, because its own is silent.
+struct Moving {
+    pending: Pending,
+    /// Endpoint that was asked.
+    other: Name,
+    /// Time at which the attempt is given up.
+    until: Duration,
+}
+
+/// What comes first of a stream whose endpoint is silent.
+enum First {
+    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    Response(Result<Response<Incoming>, exchange::Error>),
+}
+
+/// Waits for the response of the endpoint that a stream may move to; never ends if there is none.
+async fn other_response(
+    moving: &mut Option<Moving>,
+) -> Result<Response<Incoming>, exchange::Error> {
+    match moving {
+        Some(moving) => moving.pending.response().await,
+        None => pending().await,
+    }
 }
 
 /// Waits for the first event of an endpoint's stream and returns a response that forwards the stream.
@@ -147,6 +180,7 @@
         first_event_after: None,
         last_event_at: Duration::ZERO,
         longest_pause: Duration::ZERO,
+        moving: None,
     };
     let first = match forwarder.next().await {
         Ok(first) => first,
@@ -223,22 +257,44 @@
         if left.is_zero() {
             return Received::Failed("stream_out_of_time");
         }
-        let wait = match self.ctx.can_retry() {
-            true => left.min(self.silence_timeout()),
-            false => left,
+        let wait = match &self.moving {
+            Some(moving) => left.min(moving.until.saturating_sub(self.ctx.node.now())),
+            None if self.ctx.can_retry() => left.min(self.silence_timeout()),
+            None => left,
         };
         let Some(exchange) = self.exchange.as_mut() else {
             return Received::Failed("stream_lost");
         };
-        let frame = match timeout(wait, exchange.body.frame()).await {
+        let first = async {
+            tokio::select! {
+                biased;
+                response = other_response(&mut self.moving) => First::Response(response),
+                frame = exchange.body.frame() => First::Frame(frame),
+            }
+        };
+        let frame = match timeout(wait, first).await {
             Err(_) if self.ctx.remaining().is_zero() => {
                 return Received::Failed("stream_out_of_time");
             }
+            Err(_) if self.moving.is_some() => {
+                self.end_move("silent");
+                return Received::Incomplete;
+            }
             Err(_) => return Received::TimedOut,
-            Ok(None) if self.events.is_partial() => return Received::Failed("stream_cut"),
-            Ok(None) => return Received::End,
-            Ok(Some(Err(_))) => return Received::Failed("stream_broken"),
-            Ok(Some(Ok(frame))) => frame,
+            Ok(First::Response(response)) => {
+                self.finish_move(response).await;
+                return Received::Incomplete;
+            }
+            Ok(First::Frame(frame)) => frame,
+        };
+        let frame = match frame {
+            None if self.events.is_partial() => return Received::Failed("stream_cut"),
+            Some(Err(_)) => return Received::Failed("stream_broken"),
+            frame => frame,
+        };
+        self.end_move("stayed");
+        let Some(Ok(frame)) = frame else {
+            return Received::End;
         };
         self.silent_since = self.ctx.node.now();
         let Ok(data) = frame.into_data() else {
@@ -318,53 +374,86 @@
         });
     }
 
-    /// Moves the stream from a silent endpoint to another one that takes it. The silent one may only be busy with other
-    /// requests, so its connection is kept until the other one has begun to respond.
+    /// Asks another endpoint with room to take over the stream of a silent one. The silent one may only be busy with
+    /// other requests, so both are listened to until one of them sends something.
     async fn try_move(&mut self) {
-        let Some(silent) = self.exchange.as_ref().map(|e| e.endpoint.clone()) else {
-            return;
-        };
-        let max_wait = self.caller_patience();
-        if max_wait.is_zero() {
-            return;
-        }
+        let patience = self.caller_patience();
         let ctx = &mut self.ctx;
-        let node = ctx.node.clone();
-        let mut excluded = ctx.tried.clone();
-        excluded.push(silent.entry.id.clone());
-        if !ctx.can_retry() || !choose::has_room(&node, &ctx.admission, &ctx.call, &excluded) {
+        if patience < MIN_MOVE_TIME
+            || !ctx.can_retry()
+            || !choose::has_room(&ctx.node, &ctx.admission, &ctx.call, &ctx.tried)
+        {
             return;
         }
-        let choice = choose::choose(&node, &ctx.admission, &ctx.call, &excluded);
-        let Ok(choice) = choice else {
+        let Ok(choice) = ctx.choose() else {
             return;
         };
-        if !ctx.take_retry() {
-            return;
-        }
-        let silence = node.now().saturating_sub(self.silent_since);
-        let last = self.events.last();
-        let outcome = ctx.send(&choice, last, max_wait).await;
-        let (is_moved, because) = match outcome {
-            Outcome::Answered(exchange) if exchange.parts.status.is_success() => {
-                silent.tracker.lock().health.failed(node.now());
-                node.meter.resumes.inc();
-                self.events.discard_partial();
-                self.exchange = Some(exchange);
-                (true, "-")
+        let until = ctx.node.now() + patience;
+        let other = choice.endpoint.entry.id.clone();
+        match ctx.open(&choice, self.events.last()).await {
+            Some(pending) => {
+                self.moving = Some(Moving {
+                    pending,
+                    other,
+                    until,
+                });
             }
-            outcome => (false, outcome.reason()),
+            None => self.note_move("unsent", &other),
+        }
+    }
+
+    /// Moves the stream if the other endpoint's response is a success.
+    async fn finish_move(&mut self, response: Result<Response<Incoming>, exchange::Error>) {
+        let Some(Moving { pending, other, .. }) = self.moving.take() else {
+            return;
         };
-        self.silent_since = node.now();
+        let outcome = self.ctx.settle(pending, response).await;
         self.ctx.phase = Phase::Reading;
+        let Outcome::Answered(exchange) = outcome else {
+            self.note_move(outcome.reason(), &other);
+            return;
+        };
+        if !exchange.parts.status.is_success() {
+            self.note_move("failed", &other);
+            return;
+        }
+        let node = self.ctx.node.clone();
+        self.note_move("moved", &other);
+        node.meter.resumes.inc();
+        self.events.discard_partial();
+        // The silent endpoint's connection is dropped here, which stops its work.
+        if let Some(silent) = self.exchange.replace(exchange) {
+            silent.endpoint.tracker.lock().health.failed(node.now());
+        }
+    }
+
+    /// Gives up an attempt to move the stream, if there is one.
+    fn end_move(&mut self, outcome: &'static str) {
+        if let Some(Moving { pending, other, .. }) = self.moving.take() {
+            drop(pending);
+            self.ctx.phase = Phase::Reading;
+            self.note_move(outcome, &other);
+        }
+    }
+
+    /// Logs and counts an attempt to move the stream, and starts to count the endpoint's silence anew.
+    fn note_move(&mut self, outcome: &'static str, other: &Name) {
+        let node = self.ctx.node.clone();
+        let now = node.now();
+        let silence = now.saturating_sub(self.silent_since);
+        self.silent_since = now;
+        node.meter.moves.get_or_create(&Move { outcome }).inc();
         node.journal.line(|| {
+            let silent = self
+                .exchange
+                .as_ref()
+                .map(|silent| &*silent.endpoint.entry.id);
             spdlog::info!("stream: silent", kv: {
                 request: = self.ctx.call.id,
-                endpoint: = silent.entry.id,
-                other: = choice.endpoint.entry.id,
-                last_event = last.map_or(-1, |last| last as i64),
-                moved = is_moved,
-                because = because,
+                endpoint: = silent.unwrap_or("-"),
+                other: = other,
+                outcome = outcome,
+                last_event = self.events.last().map_or(-1, |last| last as i64),
                 silent_ms = silence.as_millis() as u64,
                 runs = self.ctx.runs,
             });
@@ -384,8 +473,10 @@
         self.events.discard_partial();
         let last = self.events.last();
         let silent = node.now().saturating_sub(self.silent_since);
-        self.ctx.tried.push(broken.clone());
-        let outcome = self.reconnect(last).await;
+        let silent_moves = self.moving.take().map(|moving| moving.pending);
+        let outcome = self
+            .reconnect(last, silent_moves.into_iter().collect())
+            .await;
         let resumed = outcome.is_ok();
         node.journal.line(|| {
             spdlog::info!("stream: broken", kv: {
@@ -402,25 +493,42 @@
         resumed
     }
 
-    /// Resumes at another endpoint after the event `last`. Endpoints that are silent are listened to until one has begun
-    /// to respond.
-    async fn reconnect(&mut self, last: Option<u64>) -> Result<(), &'static str> {
+    /// Resumes at another endpoint after the event `last`. Endpoints in `silent`, and those that do not respond in time,
+    /// are listened to until one has begun to respond.
+    async fn reconnect(
+        &mut self,
+        last: Option<u64>,
+        mut silent: Vec<Pending>,
+    ) -> Result<(), &'static str> {
         let deadline = self.ctx.node.now() + self.caller_patience();
         let mut attempts = 0;
-        let mut silent: Vec<Pending> = Vec::new();
+        // An endpoint that was asked before is given the usual time before another one is.
+        let mut max_wait = self.ctx.max_wait(&silent);
         loop {
-            let outcome = match self.next_endpoint(attempts, deadline).await {
-                Ok(choice) => {
-                    attempts += 1;
-                    let max_wait = self.ctx.max_wait(&silent);
-                    self.ctx.send(&choice, last, max_wait).await
-                }
-                Err(reason) if silent.is_empty() => return Err(reason),
-                Err(_) => {
-                    let max_wait = self.ctx.remaining();
-                    let outcome = self.ctx.receive_any(&mut silent, max_wait).await;
-                    outcome.ok_or("silent")?
-                }
+            let outcome = match silent.is_empty() {
+                true => None,
+                false => self.ctx.receive_any(&mut silent, max_wait).await,
+            };
+            max_wait = RETRY_INTERVAL.min(self.ctx.remaining());
+            let outcome = match outcome {
+                Some(outcome) => outcome,
+                None if self.ctx.is_out_of_time() => return Err("out_of_time"),
+                None => match self.next_endpoint(attempts) {
+                    Ok(choice) => {
+                        attempts += 1;
+                        let max_wait = self.ctx.max_wait(&silent);
+                        self.ctx.send(&choice, last, max_wait).await
+                    }
+                    Err(_) if !silent.is_empty() => continue,
+                    Err(cause) if cause.is_lasting() => return Err(cause.reason()),
+                    Err(cause) if self.ctx.node.now() + RETRY_INTERVAL > deadline => {
+                        return Err(cause.reason());
+                    }
+                    Err(_) => {
+                        sleep(RETRY_INTERVAL).await;
+                        continue;
+                    }
+                },
             };
             match outcome {
                 Outcome::Answered(exchange) if exchange.parts.status.is_success() => {
@@ -436,35 +544,16 @@
         }
     }
 
-    /// Chooses the endpoint at which the stream is to resume and takes the retry that this needs, as long as the caller
-    /// is expected to wait.
-    async fn next_endpoint(
-        &mut self,
-        attempts: usize,
-        deadline: Duration,
-    ) -> Result<Choice, &'static str> {
-        if attempts >= MAX_RESUMES {
-            return Err("turned_away");
-        }
-        if !self.ctx.can_retry() {
-            return Err("may_not_repeat");
+    /// Chooses the endpoint at which a broken stream is to resume and takes the retry that this needs.
+    fn next_endpoint(&self, attempts: usize) -> Result<Choice, Unavailable> {
+        if attempts >= MAX_RESUMES || !self.ctx.can_retry() {
+            return Err(Unavailable::Attempts);
         }
-        loop {
-            let ctx = &self.ctx;
-            let node = &ctx.node;
-            let cause = match choose::choose(node, &ctx.admission, &ctx.call, &ctx.tried) {
-                Ok(choice) if ctx.take_retry() => return Ok(choice),
-                Ok(_) => return Err("retry_budget"),
-                Err(cause) => cause,
-            };
-            if cause == Unavailable::Adapter {
-                node.demand.want(&ctx.call);
-            }
-            if cause.is_lasting() || node.now() + RETRY_INTERVAL > deadline {
-                return Err(cause.reason());
-            }
-            sleep(RETRY_INTERVAL).await;
+        let choice = self.ctx.choose();
+        if let Err(Unavailable::Adapter) = choice {
+            self.ctx.node.demand.want(&self.ctx.call);
         }
+        choice
     }
 
     /// Time for which the caller is expected to wait for the next event.
