--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -11,8 +11,8 @@
 
 use super::Node;
 use super::admit::{Admission, Refusal};
-use super::choose::{self, Choice, Unavailable};
-use super::send::{Context, Exchange, FULL_PAUSE, MIN_REMAINING, Outcome, Pending, Phase};
+use super::choose::{Choice, Unavailable};
+use super::send::{Context, Exchange, FULL_PAUSE, Outcome, Pending, Phase};
 use super::stream;
 use crate::protocol::connection;
 use crate::state::call::Call;
@@ -56,7 +56,7 @@
     // Endpoints that were silent so far; they are listened to until one has answered.
     let mut silent: Vec<Pending> = Vec::new();
     loop {
-        if ctx.remaining() < MIN_REMAINING {
+        if ctx.is_out_of_time() {
             let refusal = Refusal::busy("out_of_time", RETRY_INTERVAL);
             return fail(&mut ctx, failure, refusal);
         }
@@ -79,16 +79,24 @@
         match outcome {
             Outcome::Answered(exchange) => {
                 let retry = exchange.parts.status.is_server_error() && ctx.can_retry();
+                if !retry {
+                    // The others must not go on beside the endpoint that has answered.
+                    silent.clear();
+                }
                 if ctx.admission.route.kind.is_streaming() && exchange.parts.status.is_success() {
-                    return stream::answer(ctx, *exchange);
+                    return match stream::answer(ctx, *exchange).await {
+                        Ok(response) => response,
+                        Err((mut ctx, reason)) => {
+                            let Refusal { status, .. } = response_lost(ctx.is_out_of_time());
+                            fail(&mut ctx, failure, Refusal::invalid(status, reason))
+                        }
+                    };
                 }
-                let endpoint = exchange.endpoint.entry.id.clone();
                 match read_response(node, &ctx, *exchange).await {
                     Some(response) if retry => failure = Some(response),
                     Some(response) => return complete(&mut ctx, response),
                     None => {}
                 }
-                ctx.tried.push(endpoint);
             }
             Outcome::TimedOut(pending) => silent.push(*pending),
             Outcome::Rejected | Outcome::Unsent | Outcome::Broken => {}
@@ -107,9 +115,8 @@
         return Err(Refusal::busy("turned_away", FULL_PAUSE * 3));
     }
     loop {
-        let cause = match choose::choose(&node, &ctx.admission, &ctx.call, &ctx.tried) {
-            Ok(choice) if ctx.take_retry() => return Ok(choice),
-            Ok(_) => return Err(Refusal::busy("retry_budget", FULL_PAUSE)),
+        let cause = match ctx.choose() {
+            Ok(choice) => return Ok(choice),
             Err(cause) => cause,
         };
         if ctx.delivered > 0 || !wait_for_endpoint(ctx, cause, wait_started).await {
@@ -136,7 +143,7 @@
             MAX_ADAPTER_WAIT
         }
         Unavailable::Paused | Unavailable::Cold => MAX_PAUSE_WAIT,
-        Unavailable::Endpoint | Unavailable::Model | Unavailable::Full => return false,
+        _ => return false,
     };
     let max_wait = max_wait.min(ctx.admission.route.objective / 2);
     if ctx.node.now() + RETRY_INTERVAL > (started + max_wait).min(ctx.admission.deadline) {
@@ -159,6 +166,7 @@
         Unavailable::Endpoint => Duration::from_millis(1500),
         Unavailable::Adapter => Duration::from_millis(300),
         Unavailable::Paused => Duration::from_millis(400),
+        Unavailable::Retry | Unavailable::Attempts => FULL_PAUSE,
         Unavailable::Cold | Unavailable::Full => {
             // Spread so that callers do not retry at the same time.
             let jitter = (node.now().subsec_micros() % 1000) + 500;
@@ -219,7 +227,7 @@
     let refusal = match ctx.runs {
         0 => refusal,
         // A refusal with `Retry-After` promises that the request has not run, which would be false.
-        _ if refusal.retry_after.is_some() => response_lost(ctx.remaining() < MIN_REMAINING),
+        _ if refusal.retry_after.is_some() => response_lost(ctx.is_out_of_time()),
         _ => refusal,
     };
     if ctx.runs == 0 {
@@ -243,10 +251,15 @@
     refusal_response(refusal)
 }
 
+/// Body without content.
+pub fn empty_body() -> Body {
+    let body = Full::new(Bytes::new()).map_err(|never| match never {});
+    body.boxed_unsync()
+}
+
 /// Response of a refusal, with an empty body.
 pub fn refusal_response(refusal: &Refusal) -> Response<Body> {
-    let body = Full::new(Bytes::new()).map_err(|never| match never {});
-    let mut response = Response::new(body.boxed_unsync());
+    let mut response = Response::new(empty_body());
     *response.status_mut() = refusal.status;
     if let Some(wait) = refusal.retry_after {
         let seconds = format!("{:.3}", wait.as_secs_f64());
