--- a/src/serving/journal.rs
+++ b/src/serving/journal.rs
@@ -19,6 +19,21 @@
     xxh3_64(request.as_bytes()).is_multiple_of(SAMPLE_INTERVAL)
 }
 
+/// Formats digests for a log line.
+///
+/// ```
+/// use persimmoncroft::serving::journal::hex;
+/// assert_eq!(hex(&[255, 16]), "ff,10");
+/// assert_eq!(hex(&[]), "-");
+/// ```
+pub fn hex(digests: &[u64]) -> String {
+    if digests.is_empty() {
+        return "-".to_owned();
+    }
+    let digests: Vec<String> = digests.iter().map(|digest| format!("{digest:x}")).collect();
+    digests.join(",")
+}
+
 /// Writes log lines up to a rate and counts the dropped ones.
 #[derive(Debug)]
 pub struct Journal {
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -184,6 +184,7 @@
         head,
         parts,
         body,
+        ..
     } = exchange;
     let read = timeout(ctx.remaining(), read_whole(body)).await;
     let Ok(Ok(bytes)) = read else {
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -52,6 +52,8 @@
     pub head: Head,
     /// Status and headers.
     pub parts: http::response::Parts,
+    /// Time at which the head arrived.
+    pub answered_at: Duration,
     /// Rest of the response.
     pub body: Incoming,
 }
@@ -290,6 +292,7 @@
                     head: (self.node.codec.head)(&parts),
                     parts,
                     body,
+                    answered_at: self.node.now(),
                 };
                 self.classify(&choice, exchange, pending.sent_at).await
             }
@@ -303,7 +306,8 @@
                 let tracker = &choice.endpoint.tracker;
                 tracker.lock().health.failed(self.node.now());
                 self.count_run(&choice);
-                self.log("broken", &choice, &error.to_string());
+                let detail = format!("parts={} {error}", journal::hex(&self.call.shared_parts()));
+                self.log("broken", &choice, &detail);
                 Outcome::Broken
             }
         }
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::choose::{self, Choice, Unavailable};
+use super::journal;
 use super::meter::Move;
 use super::relay::{Body, empty_body, forwarded_parts};
 use super::send::{Context, Exchange, Outcome, Pending, Phase};
@@ -468,6 +469,7 @@
         let node = self.ctx.node.clone();
         let broken = exchange.endpoint.entry.id.clone();
         exchange.endpoint.tracker.lock().health.failed(node.now());
+        let since_head = node.now().saturating_sub(exchange.answered_at);
         // Dropping the connection stops the endpoint before another one resumes.
         drop(exchange);
         self.events.discard_partial();
@@ -487,6 +489,8 @@
                 resumed = resumed,
                 because = outcome.err().unwrap_or("-"),
                 silent_ms = silent.as_millis() as u64,
+                since_head_ms = since_head.as_millis() as u64,
+                parts: = journal::hex(&self.ctx.call.shared_parts()),
                 runs = self.ctx.runs,
             });
         });
--- a/src/state/call.rs
+++ b/src/state/call.rs
@@ -31,6 +31,24 @@
     pub parts: Vec<Part>,
 }
 
+impl Generation {
+    /// Digests of the parts that other requests may share: all but the last one.
+    ///
+    /// ```
+    /// use persimmoncroft::state::call::{Generation, Part};
+    /// let parts = [7, 8, 9].map(|digest| Part { digest, tokens: 10 });
+    /// let generation = Generation {
+    ///     model: "m1".into(), adapter: None, prompt_tokens: 30, output_tokens: 5, parts: parts.to_vec(),
+    /// };
+    /// assert_eq!(generation.shared_parts(), [7, 8]);
+    /// ```
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let shared = self.parts.len().saturating_sub(1);
+        let shared = self.parts.iter().take(shared);
+        shared.map(|part| part.digest).collect()
+    }
+}
+
 /// One attempt of a caller; a retry by the caller is another call.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -64,6 +82,12 @@
         self.target.split('?').next().unwrap_or_default()
     }
 
+    /// Digests of the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let generation = self.generation.as_ref();
+        generation.map_or_else(Vec::new, Generation::shared_parts)
+    }
+
     /// Returns the sum of prompt and output tokens, if stated.
     pub fn tokens(&self) -> Option<u64> {
         let generation = self.generation.as_ref().filter(|_| self.tokens_stated)?;
