Add the logic that finds and holds the parts that crash endpoints

Not in use yet. Reports name the requests that had just got their response head when an endpoint ended. Parts are held from three crashes on, eight where a daemon has seen all of them run well in the last minute; a part whose request outlives its start is released at once. Parts that no report tells apart are held together, so sound requests that share one of them are served and show which it was. After the fifth crash a hold lasts ten minutes.

Two choices of the design: evidence for a hold is kept until a minute after its end, else a part that crashes one endpoint after each hold would never reach five; and a peer's announcement sets the end of a hold only once, else two daemons that return it to each other would prolong it by the delay of every message.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -24,6 +24,7 @@
 pub mod peak;
 pub mod permit;
 pub mod placement;
+pub mod quarantine;
 pub mod queue;
 pub mod ramp;
 pub mod reader;
--- /dev/null
+++ b/src/coordination/quarantine.rs
@@ -0,0 +1,601 @@
+//! Quarantine of prompt parts that crash endpoints.
+//!
+//! Each daemon reports the requests that had just got their response head when an endpoint ended. A part that accounts
+//! for several crashes is held: requests that contain it are refused. Parts that no report tells apart are held
+//! together, so that a request that shares only some of them still runs and shows which of them is the cause. A part of
+//! a request that outlived its start is sound.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Time for which an occurrence counts, and for which a part that was sound is vouched for.
+const EVIDENCE_TTL: Duration = Duration::from_secs(60);
+
+/// Number of crashes from which a group of parts is held.
+const MIN_CRASHES: usize = 3;
+
+/// Number of crashes from which a group is held whose parts are all vouched for.
+const MIN_VOUCHED_CRASHES: usize = 8;
+
+/// Number of crashes from which a group is held for [`LONG_HOLD`].
+const LONG_HOLD_CRASHES: usize = 5;
+
+/// Time for which a group is held after its last crash.
+const SHORT_HOLD: Duration = Duration::from_secs(30);
+
+/// Time for which a group with many crashes is held after the last one.
+const LONG_HOLD: Duration = Duration::from_secs(600);
+
+/// Maximum delay of a message between daemons.
+const MESSAGE_DELAY: Duration = Duration::from_secs(1);
+
+/// Maximum number of occurrences; beyond it, the oldest ones are dropped.
+const MAX_OCCURRENCES: usize = 1024;
+
+/// Maximum number of parts of one occurrence or hold; further ones are ignored.
+const MAX_PARTS: usize = 64;
+
+/// Maximum number of sound parts that are remembered; beyond it, the least recently used half is dropped.
+const MAX_SOUND_PARTS: usize = 8192;
+
+/// Maximum number of holds; beyond it, those that end first are dropped.
+const MAX_HOLDS: usize = 64;
+
+/// Maximum number of announcements that are remembered per hold.
+const MAX_ANNOUNCEMENTS: usize = 64;
+
+/// A part of a request that was at an endpoint when it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Suspect {
+    /// Digest of the part.
+    #[serde(rename = "p")]
+    pub part: u64,
+    /// Whether the reporting daemon has seen a request with this part outlive its start within the last minute.
+    #[serde(rename = "v", default, skip_serializing_if = "std::ops::Not::not")]
+    pub vouched: bool,
+}
+
+/// A request that had just got its response head when its endpoint ended.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Occurrence {
+    /// Digest of the endpoint's start that ended.
+    #[serde(rename = "c")]
+    pub crash: u64,
+    /// Digest of the request.
+    #[serde(rename = "r")]
+    pub request: u64,
+    /// Parts of the request's prompt.
+    #[serde(rename = "p")]
+    pub parts: Vec<Suspect>,
+}
+
+/// Parts that are held together, as daemons announce them to each other.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Hold {
+    /// Digests of the parts, in ascending order.
+    #[serde(rename = "p")]
+    pub parts: Vec<u64>,
+    /// Time left, in milliseconds.
+    #[serde(rename = "t")]
+    pub left_millis: u64,
+    /// Number of crashes that the parts account for.
+    #[serde(rename = "n")]
+    pub crashes: usize,
+    /// Digest of the last crash.
+    #[serde(rename = "c")]
+    pub last_crash: u64,
+}
+
+/// Evidence against parts of prompts, and the holds that follow from it.
+///
+/// ```
+/// use std::time::Duration;
+/// use persimmoncroft::coordination::quarantine::{Occurrence, Quarantine, Suspect};
+/// let mut quarantine = Quarantine::default();
+/// let now = Duration::from_secs(1);
+/// for crash in 1..=3 {
+///     // Part 7 is common to all requests, part 8 only to those that crash, the last one is unique.
+///     let parts = [7, 8, 100 + crash].map(|part| Suspect { part, vouched: false });
+///     quarantine.record(Occurrence { crash, request: crash, parts: parts.to_vec() }, now);
+///     quarantine.survived(&[7, 9], now);
+/// }
+/// assert!(quarantine.held(&[7, 8, 200], now).is_some());
+/// assert!(quarantine.held(&[7, 9, 200], now).is_none());
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    evidence: VecDeque<Evidence>,
+    /// Number of occurrences by part.
+    counts: HashMap<u64, usize>,
+    sound: HashMap<u64, Duration>,
+    holds: Vec<Held>,
+}
+
+#[derive(Debug, Clone)]
+struct Evidence {
+    occurrence: Occurrence,
+    seen_at: Duration,
+    expires_at: Duration,
+}
+
+/// A hold; it is kept for a while after its end, so that a late message does not bring it back.
+#[derive(Debug, Clone)]
+struct Held {
+    parts: Vec<u64>,
+    crashes: usize,
+    last_crash: u64,
+    until: Duration,
+    /// Whether its end was set by a peer.
+    is_adopted: bool,
+    /// Crash counts and last crashes that have set its end. Each sets it once: daemons that return a hold to each other
+    /// would prolong it by the delay of every message.
+    announced: VecDeque<(usize, u64)>,
+}
+
+impl Held {
+    /// Remembers an announcement; returns whether it is new.
+    fn announce(&mut self, crashes: usize, last_crash: u64) -> bool {
+        let is_new = !self.announced.contains(&(crashes, last_crash));
+        if is_new {
+            self.announced.push_back((crashes, last_crash));
+            if self.announced.len() > MAX_ANNOUNCEMENTS {
+                self.announced.pop_front();
+            }
+        }
+        is_new
+    }
+
+    /// Moves the end, but never to an earlier time; returns whether this is now the end.
+    fn extend(&mut self, crashes: usize, last_crash: u64, until: Duration) -> bool {
+        self.crashes = self.crashes.max(crashes);
+        let is_end = until >= self.until;
+        if is_end {
+            self.last_crash = last_crash;
+            self.until = until;
+        }
+        is_end
+    }
+}
+
+/// Parts with the same occurrences.
+#[derive(Debug)]
+struct Group {
+    parts: Vec<u64>,
+    is_vouched: bool,
+    /// Positions of its occurrences, oldest first.
+    occurrences: Vec<usize>,
+    crashes: BTreeSet<u64>,
+}
+
+/// A group with the number of crashes for which there is no better explanation.
+#[derive(Debug)]
+struct Finding {
+    group: Group,
+    crashes: usize,
+}
+
+impl Quarantine {
+    /// Records an occurrence. Returns whether it is new; reports of several daemons about one request and crash are
+    /// merged.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Occurrence, Quarantine, Suspect};
+    /// let mut quarantine = Quarantine::default();
+    /// let parts = vec![Suspect { part: 1, vouched: false }];
+    /// let occurrence = Occurrence { crash: 1, request: 1, parts };
+    /// assert!(quarantine.record(occurrence.clone(), Duration::ZERO));
+    /// assert!(!quarantine.record(occurrence, Duration::ZERO));
+    /// ```
+    pub fn record(&mut self, mut occurrence: Occurrence, now: Duration) -> bool {
+        self.expire(now);
+        let parts = &mut occurrence.parts;
+        parts.sort_by_key(|suspect| (suspect.part, Reverse(suspect.vouched)));
+        parts.dedup_by_key(|suspect| suspect.part);
+        parts.sort_by_key(|suspect| suspect.vouched);
+        parts.truncate(MAX_PARTS);
+        if parts.is_empty() {
+            return false;
+        }
+        let key = (occurrence.crash, occurrence.request);
+        let mut known = self.evidence.iter_mut();
+        let known = known.find(|it| (it.occurrence.crash, it.occurrence.request) == key);
+        if let Some(known) = known {
+            if known.vouch(&occurrence.parts) {
+                self.revise(now);
+            }
+            return false;
+        }
+        let mut may_be_held = false;
+        for suspect in &occurrence.parts {
+            let count = self.counts.entry(suspect.part).or_default();
+            *count += 1;
+            may_be_held |= *count >= MIN_CRASHES;
+        }
+        self.evidence.push_back(Evidence {
+            occurrence,
+            seen_at: now,
+            expires_at: now + EVIDENCE_TTL,
+        });
+        if self.evidence.len() > MAX_OCCURRENCES
+            && let Some(oldest) = self.evidence.pop_front()
+        {
+            discount(&mut self.counts, &oldest.occurrence.parts);
+        }
+        if may_be_held {
+            self.revise(now);
+        }
+        true
+    }
+
+    /// Records that a request with these parts has outlived its start. Returns those of them that were held or had
+    /// occurred in two or more crashes, in ascending order: peers have to learn that they are sound.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Occurrence, Quarantine, Suspect};
+    /// let mut quarantine = Quarantine::default();
+    /// for crash in 1..=2 {
+    ///     let parts = vec![Suspect { part: 1, vouched: false }];
+    ///     quarantine.record(Occurrence { crash, request: crash, parts }, Duration::ZERO);
+    /// }
+    /// assert_eq!(quarantine.survived(&[1, 2], Duration::ZERO), [1]);
+    /// assert!(quarantine.survived(&[1, 2], Duration::ZERO).is_empty());
+    /// ```
+    pub fn survived(&mut self, parts: &[u64], now: Duration) -> Vec<u64> {
+        self.expire(now);
+        let mut crashes: BTreeMap<u64, BTreeSet<u64>> = BTreeMap::new();
+        if self.has_evidence(parts) {
+            for Evidence { occurrence, .. } in &self.evidence {
+                for suspect in &occurrence.parts {
+                    if parts.contains(&suspect.part) {
+                        let crashes = crashes.entry(suspect.part).or_default();
+                        crashes.insert(occurrence.crash);
+                    }
+                }
+            }
+        }
+        let mut cleared: BTreeSet<u64> = crashes
+            .into_iter()
+            .filter(|(_, crashes)| crashes.len() >= 2)
+            .map(|(part, _)| part)
+            .collect();
+        let active = self.holds.iter().filter(|hold| now < hold.until);
+        let held = active.flat_map(|hold| &hold.parts);
+        cleared.extend(held.filter(|part| parts.contains(part)));
+        self.clear(parts, now);
+        cleared.into_iter().collect()
+    }
+
+    /// Records that a peer has found these parts sound.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let mut quarantine = Quarantine::default();
+    /// let hold = Hold { parts: vec![1], left_millis: 20_000, crashes: 3, last_crash: 9 };
+    /// quarantine.adopt(hold, Duration::ZERO);
+    /// quarantine.clear(&[1], Duration::ZERO);
+    /// assert!(quarantine.held(&[1], Duration::ZERO).is_none());
+    /// ```
+    pub fn clear(&mut self, parts: &[u64], now: Duration) {
+        self.expire(now);
+        self.remember_sound(parts, now);
+        let changed = self.has_evidence(parts);
+        if changed {
+            for Evidence { occurrence, .. } in &mut self.evidence {
+                // An occurrence without parts stays, so that a late report of it is not taken as new.
+                occurrence.parts.retain(|it| !parts.contains(&it.part));
+            }
+            self.counts.retain(|part, _| !parts.contains(part));
+        }
+        let mut holds = std::mem::take(&mut self.holds);
+        for hold in &mut holds {
+            hold.parts.retain(|part| !parts.contains(part));
+        }
+        for hold in holds.into_iter().filter(|hold| !hold.parts.is_empty()) {
+            self.merge(hold);
+        }
+        if changed {
+            self.revise(now);
+        }
+    }
+
+    /// Whether a request with this part outlived its start within the last minute.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::Quarantine;
+    /// let mut quarantine = Quarantine::default();
+    /// quarantine.survived(&[1], Duration::ZERO);
+    /// assert!(quarantine.is_vouched(1, Duration::from_secs(59)));
+    /// assert!(!quarantine.is_vouched(1, Duration::from_secs(61)));
+    /// ```
+    pub fn is_vouched(&self, part: u64, now: Duration) -> bool {
+        let sound_at = self.sound.get(&part);
+        sound_at.is_some_and(|at| now < *at + EVIDENCE_TTL)
+    }
+
+    /// Time for which a request with these parts is refused, if it is.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let mut quarantine = Quarantine::default();
+    /// let hold = Hold { parts: vec![1, 2], left_millis: 20_000, crashes: 3, last_crash: 9 };
+    /// quarantine.adopt(hold, Duration::ZERO);
+    /// let left = quarantine.held(&[1, 2, 3], Duration::from_secs(5));
+    /// assert_eq!(left, Some(Duration::from_secs(15)));
+    /// assert_eq!(quarantine.held(&[1, 3], Duration::from_secs(5)), None);
+    /// ```
+    pub fn held(&self, parts: &[u64], now: Duration) -> Option<Duration> {
+        let active = self.holds.iter().filter(|hold| now < hold.until);
+        let matching = active.filter(|hold| hold.parts.iter().all(|part| parts.contains(part)));
+        matching.map(|hold| hold.until - now).max()
+    }
+
+    /// Holds in force, for peers that do not have the evidence.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let hold = Hold { parts: vec![1, 2], left_millis: 20_000, crashes: 3, last_crash: 9 };
+    /// let mut quarantine = Quarantine::default();
+    /// quarantine.adopt(hold.clone(), Duration::ZERO);
+    /// assert_eq!(quarantine.holds(Duration::ZERO), [hold]);
+    /// assert!(quarantine.holds(Duration::from_secs(20)).is_empty());
+    /// ```
+    pub fn holds(&self, now: Duration) -> Vec<Hold> {
+        let active = self.holds.iter().filter(|hold| now < hold.until);
+        let holds = active.map(|hold| Hold {
+            parts: hold.parts.clone(),
+            left_millis: (hold.until - now).as_millis() as u64,
+            crashes: hold.crashes,
+            last_crash: hold.last_crash,
+        });
+        holds.collect()
+    }
+
+    /// Adopts a peer's hold; of two holds of the same parts, the longer time counts. Parts that were found sound after
+    /// the hold's last crash are left out.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let mut quarantine = Quarantine::default();
+    /// let hold = Hold { parts: vec![1], left_millis: 20_000, crashes: 3, last_crash: 9 };
+    /// quarantine.adopt(hold.clone(), Duration::ZERO);
+    /// // A message that was delayed does not prolong it.
+    /// quarantine.adopt(hold, Duration::from_secs(5));
+    /// let left = quarantine.held(&[1], Duration::from_secs(5));
+    /// assert_eq!(left, Some(Duration::from_secs(15)));
+    /// ```
+    pub fn adopt(&mut self, hold: Hold, now: Duration) {
+        self.expire(now);
+        let full_time = hold_time(hold.crashes);
+        let left = Duration::from_millis(hold.left_millis).min(full_time);
+        let crashed_at = now.saturating_sub(full_time - left + MESSAGE_DELAY);
+        let mut parts = hold.parts;
+        parts.sort_unstable();
+        parts.dedup();
+        parts.retain(|part| self.sound.get(part).is_none_or(|at| *at < crashed_at));
+        if left.is_zero() || parts.is_empty() || parts.len() > MAX_PARTS {
+            return;
+        }
+        let announcement = (hold.crashes, hold.last_crash);
+        self.merge(Held {
+            parts,
+            crashes: hold.crashes,
+            last_crash: hold.last_crash,
+            until: now + left,
+            is_adopted: true,
+            announced: [announcement].into(),
+        });
+    }
+
+    /// Adds a hold, or joins it with the one of the same parts.
+    fn merge(&mut self, hold: Held) {
+        let known = self.holds.iter_mut().find(|it| it.parts == hold.parts);
+        if let Some(known) = known {
+            let announced = hold.announced.iter();
+            let news = announced.filter(|(crashes, last)| known.announce(*crashes, *last));
+            if news.count() > 0 && known.extend(hold.crashes, hold.last_crash, hold.until) {
+                known.is_adopted = hold.is_adopted;
+            }
+            return;
+        }
+        self.holds.push(hold);
+        if self.holds.len() > MAX_HOLDS {
+            self.holds.sort_by_key(|hold| Reverse(hold.until));
+            self.holds.truncate(MAX_HOLDS);
+        }
+    }
+
+    fn remember_sound(&mut self, parts: &[u64], now: Duration) {
+        self.sound.extend(parts.iter().map(|part| (*part, now)));
+        if self.sound.len() > MAX_SOUND_PARTS {
+            let mut last_uses: Vec<Duration> = self.sound.values().copied().collect();
+            let (_, median, _) = last_uses.select_nth_unstable(MAX_SOUND_PARTS / 2);
+            let median = *median;
+            self.sound.retain(|_, last_use| *last_use > median);
+        }
+    }
+
+    fn expire(&mut self, now: Duration) {
+        let counts = &mut self.counts;
+        self.evidence.retain(|evidence| {
+            let is_valid = now < evidence.expires_at;
+            if !is_valid {
+                discount(counts, &evidence.occurrence.parts);
+            }
+            is_valid
+        });
+        self.holds.retain(|hold| now < hold.until + EVIDENCE_TTL);
+    }
+
+    fn has_evidence(&self, parts: &[u64]) -> bool {
+        parts.iter().any(|part| self.counts.contains_key(part))
+    }
+
+    /// Derives the holds from the evidence.
+    fn revise(&mut self, now: Duration) {
+        let findings = self.attribute();
+        for finding in &findings {
+            self.hold(finding);
+        }
+        for hold in &mut self.holds {
+            let mut groups = findings.iter().map(|finding| &finding.group);
+            if hold.is_adopted || groups.any(|group| group.parts == hold.parts) {
+                continue;
+            }
+            // A hold whose evidence was dropped stays: nothing else is known to account for its crashes.
+            if count_crashes(&self.evidence, &hold.parts) >= hold.crashes {
+                hold.until = hold.until.min(now);
+            }
+        }
+    }
+
+    /// Holds a group from its last crash on.
+    fn hold(&mut self, finding: &Finding) {
+        let Finding { group, crashes } = finding;
+        let last = group
+            .occurrences
+            .last()
+            .and_then(|at| self.evidence.get(*at));
+        let Some(last) = last else {
+            return;
+        };
+        let last_crash = last.occurrence.crash;
+        let until = last.seen_at + hold_time(*crashes);
+        // The next crash after the hold counts together with those before it.
+        for at in &group.occurrences {
+            if let Some(evidence) = self.evidence.get_mut(*at) {
+                evidence.expires_at = evidence.expires_at.max(until + EVIDENCE_TTL);
+            }
+        }
+        let known = self.holds.iter_mut().find(|it| it.parts == group.parts);
+        if let Some(known) = known {
+            known.announce(*crashes, last_crash);
+            known.extend(*crashes, last_crash, until);
+            known.is_adopted = false;
+            return;
+        }
+        self.merge(Held {
+            parts: group.parts.clone(),
+            crashes: *crashes,
+            last_crash,
+            until,
+            is_adopted: false,
+            announced: [(*crashes, last_crash)].into(),
+        });
+    }
+
+    /// Explains crashes by groups of parts: first by groups that are not vouched for, among them by the one with the
+    /// most crashes, and among these by the one with the fewest occurrences. Crashes that a group explains don't count
+    /// for those after it.
+    fn attribute(&self) -> Vec<Finding> {
+        let mut groups = self.groups();
+        let mut explained: HashSet<u64> = HashSet::new();
+        let mut findings = Vec::new();
+        loop {
+            let rank = |group: &Group| {
+                let crashes = group.crashes.iter().filter(|it| !explained.contains(it));
+                let crashes = crashes.count();
+                let min_crashes = match group.is_vouched {
+                    true => MIN_VOUCHED_CRASHES,
+                    false => MIN_CRASHES,
+                };
+                let rank = (group.is_vouched, Reverse(crashes), group.occurrences.len());
+                (crashes >= min_crashes).then_some(rank)
+            };
+            let Some(best) = groups.iter().filter_map(rank).min() else {
+                return findings;
+            };
+            let (_, Reverse(crashes), _) = best;
+            let (found, others): (Vec<Group>, Vec<Group>) =
+                groups.into_iter().partition(|it| rank(it) == Some(best));
+            groups = others;
+            for group in found {
+                explained.extend(&group.crashes);
+                findings.push(Finding { group, crashes });
+            }
+        }
+    }
+
+    /// Groups of parts that have enough crashes to be held.
+    fn groups(&self) -> Vec<Group> {
+        let mut by_part: BTreeMap<u64, (Vec<usize>, bool)> = BTreeMap::new();
+        for (at, evidence) in self.evidence.iter().enumerate() {
+            let suspects = evidence.occurrence.parts.iter();
+            let count = |part| self.counts.get(part).copied().unwrap_or_default();
+            for suspect in suspects.filter(|it| count(&it.part) >= MIN_CRASHES) {
+                let (occurrences, is_vouched) = by_part.entry(suspect.part).or_default();
+                occurrences.push(at);
+                *is_vouched |= suspect.vouched;
+            }
+        }
+        let mut groups: BTreeMap<Vec<usize>, Group> = BTreeMap::new();
+        for (part, (occurrences, is_vouched)) in by_part {
+            let crash = |at: &usize| self.evidence.get(*at).map(|it| it.occurrence.crash);
+            let crashes: BTreeSet<u64> = occurrences.iter().filter_map(crash).collect();
+            let group = groups.entry(occurrences.clone()).or_insert(Group {
+                parts: Vec::new(),
+                is_vouched: true,
+                occurrences,
+                crashes,
+            });
+            group.parts.push(part);
+            group.is_vouched &= is_vouched;
+        }
+        groups.into_values().collect()
+    }
+}
+
+impl Evidence {
+    /// Takes over what another report of the occurrence vouches for; returns whether that is new.
+    fn vouch(&mut self, parts: &[Suspect]) -> bool {
+        let mut changed = false;
+        for suspect in &mut self.occurrence.parts {
+            let mut others = parts.iter().filter(|other| other.part == suspect.part);
+            let vouched = others.any(|other| other.vouched);
+            changed |= vouched && !suspect.vouched;
+            suspect.vouched |= vouched;
+        }
+        changed
+    }
+}
+
+/// Takes the parts of a dropped occurrence off their counts.
+fn discount(counts: &mut HashMap<u64, usize>, parts: &[Suspect]) {
+    for suspect in parts {
+        if let Some(count) = counts.get_mut(&suspect.part) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&suspect.part);
+            }
+        }
+    }
+}
+
+/// Number of crashes with an occurrence that contains all these parts.
+fn count_crashes(evidence: &VecDeque<Evidence>, parts: &[u64]) -> usize {
+    let contains = |occurrence: &Occurrence, part: &u64| {
+        let mut suspects = occurrence.parts.iter();
+        suspects.any(|suspect| suspect.part == *part)
+    };
+    let occurrences = evidence.iter().map(|evidence| &evidence.occurrence);
+    let matching = occurrences.filter(|it| parts.iter().all(|part| contains(it, part)));
+    let crashes: HashSet<u64> = matching.map(|it| it.crash).collect();
+    crashes.len()
+}
+
+/// Time for which a group with this number of crashes is held after the last one.
+fn hold_time(crashes: usize) -> Duration {
+    match crashes >= LONG_HOLD_CRASHES {
+        true => LONG_HOLD,
+        false => SHORT_HOLD,
+    }
+}
--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,494 @@
+//! Quarantine: parts of prompts that crash endpoints are held, sound ones are not.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use persimmoncroft::coordination::quarantine::{Hold, Occurrence, Quarantine, Suspect};
+use quickcheck::quickcheck;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Part of all requests.
+const SHARED: u64 = 1;
+
+/// Part that crashes endpoints.
+const CRASHING: u64 = 2;
+
+/// Sound part in the place of the crashing one.
+const SOUND: u64 = 3;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn occurrence(crash: u64, request: u64, parts: &[u64]) -> Occurrence {
+    let suspect = |part: &u64| Suspect {
+        part: *part,
+        vouched: false,
+    };
+    Occurrence {
+        crash,
+        request,
+        parts: parts.iter().map(suspect).collect(),
+    }
+}
+
+/// Records a crash by a request of its own with these parts and a unique one.
+fn crash(quarantine: &mut Quarantine, crash: u64, parts: &[u64], now: Duration) -> bool {
+    let parts = [parts, &[1000 + crash]].concat();
+    quarantine.record(occurrence(crash, crash, &parts), now)
+}
+
+fn is_held(quarantine: &Quarantine, parts: &[u64], now: Duration) -> bool {
+    quarantine.held(parts, now).is_some()
+}
+
+/// Guards against holding what sound requests share with those that crash endpoints.
+#[test]
+fn crashing_part_is_held_after_three_crashes_and_shared_parts_are_not() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        assert!(!is_held(&quarantine, &[SHARED, CRASHING], seconds(number)));
+        crash(
+            &mut quarantine,
+            number,
+            &[SHARED, CRASHING],
+            seconds(number),
+        );
+        quarantine.survived(&[SHARED, SOUND, 2000 + number], seconds(number));
+    }
+    let now = seconds(4);
+    assert!(is_held(&quarantine, &[CRASHING, 9, 10], now));
+    assert!(!is_held(&quarantine, &[SHARED, SOUND, 10], now));
+    assert_eq!(quarantine.holds(now)[0].parts, [CRASHING]);
+}
+
+/// Guards against holding parts of sound requests that had begun at the same endpoints.
+#[test]
+fn parts_of_bystanders_are_not_held_where_another_part_explains_the_crashes() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=4 {
+        let now = seconds(number);
+        crash(&mut quarantine, number, &[SHARED, CRASHING], now);
+        for bystander in 0..2 {
+            let request = 100 * number + bystander;
+            let parts = [SHARED, SOUND, 2000 + request];
+            quarantine.record(occurrence(number, request, &parts), now);
+        }
+    }
+    let now = seconds(5);
+    assert!(is_held(&quarantine, &[SHARED, CRASHING], now));
+    assert!(!is_held(&quarantine, &[SHARED, SOUND], now));
+}
+
+/// Guards against counting one crash several times because several daemons or requests report it.
+#[test]
+fn one_crash_counts_once() {
+    let mut quarantine = Quarantine::default();
+    let now = seconds(1);
+    for number in 1..=2 {
+        assert!(crash(&mut quarantine, number, &[CRASHING], now));
+        assert!(!crash(&mut quarantine, number, &[CRASHING], now));
+        for request in 10..14 {
+            let request = 100 * number + request;
+            assert!(quarantine.record(occurrence(number, request, &[CRASHING]), now));
+        }
+    }
+    assert!(!is_held(&quarantine, &[CRASHING], now));
+    crash(&mut quarantine, 3, &[CRASHING], now);
+    assert!(is_held(&quarantine, &[CRASHING], now));
+}
+
+/// Guards against taking crashes of other causes for the fault of what ran on the endpoints.
+#[test]
+fn killed_endpoints_with_unrelated_requests_hold_nothing() {
+    for seed in 0..8 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut quarantine = Quarantine::default();
+        let mut request = 0;
+        let mut prompt = |random: &mut ChaCha8Rng| {
+            request += 1;
+            let (workspace, document) = (random.random_range(0..5), random.random_range(0..40));
+            [10 + workspace, 100 + document, 10_000 + request]
+        };
+        let mut now = Duration::ZERO;
+        for crash in 0..400 {
+            for _ in 0..40 {
+                now += Duration::from_millis(random.random_range(0..25));
+                let parts = prompt(&mut random);
+                assert!(!is_held(&quarantine, &parts, now), "seed {seed}, {now:?}");
+                quarantine.survived(&parts, now);
+            }
+            for _ in 0..random.random_range(1..4) {
+                let parts = prompt(&mut random);
+                let suspect = |part: u64| Suspect {
+                    part,
+                    vouched: quarantine.is_vouched(part, now),
+                };
+                let parts: Vec<Suspect> = parts.into_iter().map(suspect).collect();
+                let request = parts[2].part;
+                let occurrence = Occurrence {
+                    crash,
+                    request,
+                    parts,
+                };
+                quarantine.record(occurrence, now);
+            }
+            assert!(quarantine.holds(now).is_empty(), "seed {seed}, {now:?}");
+        }
+    }
+}
+
+/// Guards against holding a part in wide use after a few crashes that it had no part in.
+#[test]
+fn part_that_is_vouched_for_is_held_after_eight_crashes() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=8 {
+        assert!(!is_held(&quarantine, &[SHARED], seconds(number)));
+        let mut occurrence = occurrence(number, number, &[SHARED, 1000 + number]);
+        occurrence.parts[0].vouched = true;
+        quarantine.record(occurrence, seconds(number));
+    }
+    assert!(is_held(&quarantine, &[SHARED], seconds(9)));
+}
+
+/// Guards against a report that vouches for a part being lost because another one came first.
+#[test]
+fn later_report_that_vouches_for_a_part_releases_it() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        crash(&mut quarantine, number, &[SHARED], seconds(number));
+    }
+    assert!(is_held(&quarantine, &[SHARED], seconds(4)));
+    let mut late = occurrence(1, 1, &[SHARED, 1001]);
+    late.parts[0].vouched = true;
+    assert!(!quarantine.record(late, seconds(4)));
+    assert!(!is_held(&quarantine, &[SHARED], seconds(4)));
+}
+
+/// Guards against refusing sound requests that share one of several parts which always occurred together.
+#[test]
+fn parts_that_occur_together_are_held_together_until_one_is_seen_without_the_other() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        crash(
+            &mut quarantine,
+            number,
+            &[SHARED, CRASHING],
+            seconds(number),
+        );
+    }
+    let now = seconds(4);
+    assert!(is_held(&quarantine, &[SHARED, CRASHING, 9], now));
+    assert!(!is_held(&quarantine, &[SHARED, SOUND], now));
+    assert!(!is_held(&quarantine, &[CRASHING, SOUND], now));
+
+    let mut survived = quarantine.clone();
+    assert_eq!(survived.survived(&[SHARED, SOUND], now), [SHARED]);
+    assert!(is_held(&survived, &[CRASHING, SOUND], now));
+    assert!(!is_held(&survived, &[SHARED, SOUND], now));
+
+    crash(&mut quarantine, 4, &[CRASHING], now);
+    assert!(is_held(&quarantine, &[CRASHING, SOUND], now));
+    assert!(!is_held(&quarantine, &[SHARED, SOUND], now));
+    assert_eq!(quarantine.holds(now).len(), 1);
+}
+
+/// Guards against a part being held after a request with it ran well, here or at a peer.
+#[test]
+fn survivor_and_clear_release_a_part_and_its_evidence() {
+    for by_peer in [false, true] {
+        let mut quarantine = Quarantine::default();
+        for number in 1..=6 {
+            crash(&mut quarantine, number, &[SHARED], seconds(number));
+        }
+        let now = seconds(7);
+        assert!(is_held(&quarantine, &[SHARED], now));
+        let announced = quarantine.holds(now);
+        match by_peer {
+            true => quarantine.clear(&[SHARED], now),
+            false => assert_eq!(quarantine.survived(&[SHARED], now), [SHARED]),
+        }
+        assert!(!is_held(&quarantine, &[SHARED], now));
+        // Reports and holds that were under way do not bring it back.
+        assert!(!crash(&mut quarantine, 6, &[SHARED], now));
+        for hold in announced {
+            quarantine.adopt(hold, now);
+        }
+        assert!(!is_held(&quarantine, &[SHARED], now));
+        for number in 7..=8 {
+            crash(&mut quarantine, number, &[SHARED], now);
+        }
+        assert!(!is_held(&quarantine, &[SHARED], now));
+    }
+}
+
+/// Guards against a hold that ends too early, or never.
+#[test]
+fn hold_lasts_thirty_seconds_and_ten_minutes_after_the_fifth_crash() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        crash(&mut quarantine, number, &[CRASHING], seconds(number));
+    }
+    assert_eq!(quarantine.held(&[CRASHING], seconds(3)), Some(seconds(30)));
+    assert!(is_held(&quarantine, &[CRASHING], seconds(32)));
+    assert!(!is_held(&quarantine, &[CRASHING], seconds(33)));
+    // A crash after each hold counts together with those before.
+    crash(&mut quarantine, 4, &[CRASHING], seconds(34));
+    assert_eq!(quarantine.held(&[CRASHING], seconds(34)), Some(seconds(30)));
+    crash(&mut quarantine, 5, &[CRASHING], seconds(65));
+    assert_eq!(
+        quarantine.held(&[CRASHING], seconds(65)),
+        Some(seconds(600))
+    );
+    // Later evidence against other parts does not end it.
+    for number in 1..60 {
+        crash(
+            &mut quarantine,
+            100 + number,
+            &[SOUND + number],
+            seconds(65 + 10 * number),
+        );
+    }
+    assert!(is_held(&quarantine, &[CRASHING], seconds(664)));
+    assert!(!is_held(&quarantine, &[CRASHING], seconds(665)));
+}
+
+#[test]
+fn crashes_more_than_a_minute_apart_hold_nothing() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=20 {
+        crash(&mut quarantine, number, &[CRASHING], seconds(31 * number));
+        assert!(!is_held(&quarantine, &[CRASHING], seconds(31 * number)));
+    }
+}
+
+/// Guards against a restarted daemon that has to see the crashes anew.
+#[test]
+fn peer_without_the_evidence_adopts_a_hold_for_the_time_left() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=5 {
+        crash(
+            &mut quarantine,
+            number,
+            &[SHARED, CRASHING],
+            seconds(number),
+        );
+    }
+    let mut peer = Quarantine::default();
+    // The origin of each daemon's time is its own.
+    for hold in quarantine.holds(seconds(105)) {
+        peer.adopt(hold, seconds(1));
+    }
+    assert_eq!(
+        peer.held(&[SHARED, CRASHING], seconds(1)),
+        Some(seconds(500))
+    );
+    assert!(!is_held(&peer, &[CRASHING], seconds(1)));
+    assert_eq!(peer.survived(&[SHARED], seconds(2)), [SHARED]);
+    assert_eq!(peer.held(&[CRASHING], seconds(2)), Some(seconds(499)));
+    assert!(!is_held(&peer, &[SHARED], seconds(2)));
+}
+
+/// Guards against holds that two daemons prolong by returning them to each other over a slow link.
+#[test]
+fn returned_holds_do_not_last_longer() {
+    for crashes in [3, 5] {
+        let mut daemons = [Quarantine::default(), Quarantine::default()];
+        // Each has seen another crash last.
+        for (at, daemon) in daemons.iter_mut().enumerate() {
+            for number in 1..crashes {
+                crash(daemon, number, &[CRASHING], seconds(1));
+            }
+            crash(daemon, 50 + at as u64, &[CRASHING], seconds(1));
+        }
+        let until = match crashes {
+            3 => seconds(31 + 2),
+            _ => seconds(601 + 2),
+        };
+        for step in 1..900 {
+            let sent: Vec<Vec<Hold>> = daemons.iter().map(|it| it.holds(seconds(step))).collect();
+            for (to, holds) in sent.into_iter().rev().enumerate() {
+                for hold in holds {
+                    daemons[to].adopt(hold, seconds(step + 1));
+                }
+            }
+            let now = seconds(step + 1);
+            let held = daemons
+                .iter()
+                .any(|daemon| is_held(daemon, &[CRASHING], now));
+            assert!(!held || now < until, "held at {now:?}");
+        }
+    }
+}
+
+#[test]
+fn longer_of_two_holds_counts() {
+    let hold = |left: u64, last_crash| Hold {
+        parts: vec![CRASHING],
+        left_millis: left * 1000,
+        crashes: 3,
+        last_crash,
+    };
+    for (first, second) in [(5, 20), (20, 5)] {
+        let mut quarantine = Quarantine::default();
+        quarantine.adopt(hold(first, 1), seconds(1));
+        quarantine.adopt(hold(second, 2), seconds(1));
+        assert_eq!(quarantine.held(&[CRASHING], seconds(1)), Some(seconds(20)));
+        assert_eq!(quarantine.holds(seconds(1)).len(), 1);
+    }
+}
+
+/// Guards against a message that refuses all requests, or for longer than any evidence allows.
+#[test]
+fn unusable_holds_are_not_adopted() {
+    let mut quarantine = Quarantine::default();
+    let hold = Hold {
+        parts: vec![],
+        left_millis: 20_000,
+        crashes: 9,
+        last_crash: 1,
+    };
+    quarantine.adopt(hold.clone(), seconds(1));
+    assert!(!is_held(&quarantine, &[1, 2], seconds(1)));
+    let parts = (0..10_000).collect();
+    quarantine.adopt(
+        Hold {
+            parts,
+            ..hold.clone()
+        },
+        seconds(1),
+    );
+    assert!(quarantine.holds(seconds(1)).is_empty());
+    let endless = Hold {
+        parts: vec![1],
+        left_millis: u64::MAX,
+        ..hold
+    };
+    quarantine.adopt(endless, seconds(1));
+    assert_eq!(quarantine.held(&[1], seconds(1)), Some(seconds(600)));
+}
+
+/// Guards against memory that grows with the number of crashes, parts or messages.
+#[test]
+fn memory_is_bounded() {
+    let mut quarantine = Quarantine::default();
+    let now = seconds(1);
+    for number in 1..=3 {
+        crash(&mut quarantine, number, &[CRASHING], now);
+    }
+    for number in 0..2000 {
+        let parts: Vec<u64> = (0..100).map(|part| 10_000 + 100 * number + part).collect();
+        quarantine.record(occurrence(100 + number, number, &parts), now);
+    }
+    // The evidence is dropped, the hold stays.
+    assert!(is_held(&quarantine, &[CRASHING], now));
+    crash(&mut quarantine, 4, &[CRASHING], now);
+    crash(&mut quarantine, 5, &[CRASHING], now);
+    assert_eq!(quarantine.held(&[CRASHING], now), Some(seconds(30)));
+
+    for part in 0..20_000 {
+        quarantine.survived(&[part], now + Duration::from_millis(part));
+    }
+    let now = now + seconds(20);
+    let vouched = (0..20_000).filter(|part| quarantine.is_vouched(*part, now));
+    let vouched = vouched.count();
+    assert!((4000..=8192).contains(&vouched), "{vouched}");
+    assert!(quarantine.is_vouched(19_999, now));
+
+    for part in 0..1000 {
+        let hold = Hold {
+            parts: vec![100_000 + part],
+            left_millis: 10_000,
+            crashes: 3,
+            last_crash: part,
+        };
+        quarantine.adopt(hold, now);
+    }
+    assert!(quarantine.holds(now).len() <= 64);
+}
+
+#[test]
+fn messages_are_short_and_read_back() {
+    let mut occurrence = occurrence(1, 2, &[3, 4]);
+    occurrence.parts[1].vouched = true;
+    let text = serde_json::to_string(&occurrence).unwrap();
+    assert_eq!(text, r#"{"c":1,"r":2,"p":[{"p":3},{"p":4,"v":true}]}"#);
+    assert_eq!(
+        serde_json::from_str::<Occurrence>(&text).unwrap(),
+        occurrence
+    );
+    let hold = Hold {
+        parts: vec![3],
+        left_millis: 5,
+        crashes: 3,
+        last_crash: 1,
+    };
+    let text = serde_json::to_string(&hold).unwrap();
+    assert_eq!(serde_json::from_str::<Hold>(&text).unwrap(), hold);
+}
+
+quickcheck! {
+    /// Crashes and survivors with random parts in any order, partly reported twice: what survived last is not held.
+    fn part_that_survived_after_its_last_crash_is_not_held(steps: Vec<(u8, u8, Vec<u8>)>) -> bool {
+        let mut quarantine = Quarantine::default();
+        let mut now = Duration::ZERO;
+        let mut survived_last: BTreeMap<u64, bool> = BTreeMap::new();
+        for (number, (kind, pause, parts)) in (0_u64..).zip(&steps) {
+            now += Duration::from_millis(u64::from(*pause) * 20);
+            let parts: Vec<u64> = parts.iter().map(|part| u64::from(part % 6)).collect();
+            let survives = kind % 4 == 0;
+            survived_last.extend(parts.iter().map(|part| (*part, survives)));
+            match kind % 4 {
+                0 if kind % 8 == 0 => drop(quarantine.survived(&parts, now)),
+                0 => quarantine.clear(&parts, now),
+                _ => {
+                    let occurrence = occurrence(number / 2, number, &parts);
+                    quarantine.record(occurrence.clone(), now);
+                    quarantine.record(occurrence, now);
+                }
+            }
+            let holds = quarantine.holds(now);
+            let mut held = holds.iter().flat_map(|hold| &hold.parts);
+            if held.any(|part| survived_last.get(part) == Some(&true)) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Reports reach daemons in any order and more than once; all hold the same parts.
+    fn order_of_reports_does_not_matter(reports: Vec<(u8, u8, Vec<u8>)>, seed: u64) -> bool {
+        let report = |(crash, request, parts): &(u8, u8, Vec<u8>)| {
+            let (crash, request) = (u64::from(crash % 8), u64::from(*request));
+            let mut parts: Vec<u64> = parts.iter().map(|part| u64::from(part % 6)).collect();
+            parts.push(100 + request);
+            occurrence(crash, request, &parts)
+        };
+        // A request has the same parts in each report.
+        let by_request: BTreeMap<(u64, u64), Occurrence> = reports
+            .iter()
+            .map(report)
+            .map(|it| ((it.crash, it.request), it))
+            .collect();
+        let mut reports: Vec<&Occurrence> = by_request.values().collect();
+        let held = |reports: &[&Occurrence]| {
+            let mut quarantine = Quarantine::default();
+            for report in reports {
+                quarantine.record((*report).clone(), seconds(1));
+            }
+            let holds = quarantine.holds(seconds(1)).into_iter();
+            let mut parts: Vec<Vec<u64>> = holds.map(|hold| hold.parts).collect();
+            parts.sort();
+            parts
+        };
+        let before = held(&reports);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        for at in 0..reports.len() {
+            let other = random.random_range(0..reports.len());
+            reports.swap(at, other);
+        }
+        reports.extend(reports.clone());
+        held(&reports) == before
+    }
+}
