Refuse requests with a part of a prompt that crashes endpoints

Callers saw requests of all kinds break off and be refused for half a minute, while requests with one part of their prompt crashed endpoint after endpoint.

Cause: a daemon forgets a request with its end, and its peers never hear of it. Nothing connects an endpoint's end with what the requests on it had in common, so each new request with the part, and each resumed one, crashed another endpoint.

Now each request that had its response's head for less than 0.5 s when its endpoint ended is evidence, which all daemons get at once; a request that lasts for a second or is complete clears its parts. What the evidence points to is held: requests with it are refused with 503 and the time left, before each send, also before resumes and retries. Heartbeats carry the holds, for daemons that start later or miss a message. Sound requests that share the caller or the other parts are served.

A stream that ends without any event counts as broken: a crash of an endpoint that sends no length looks like that.

--- a/src/protocol/digest.rs
+++ b/src/protocol/digest.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::quarantine::{Hold, Occurrence};
 use crate::state::record::Name;
 
 /// A message with its sender.
@@ -48,6 +49,12 @@
     /// Models and adapters loaded on engines, sent by the placer.
     #[serde(rename = "h")]
     Held(Vec<Holding>),
+    /// A request that was at an endpoint when it ended.
+    #[serde(rename = "c")]
+    Crashed(Occurrence),
+    /// Parts of prompts that were suspected of crashing endpoints and are sound.
+    #[serde(rename = "v")]
+    Sound(Vec<u64>),
 }
 
 /// Request for units of a workspace's rate limit.
@@ -125,6 +132,9 @@
     /// Registration of the sender, for receivers that have not read it from the store; not in every message.
     #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     pub registration: Option<Registration>,
+    /// Parts of prompts whose requests the sender refuses.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub holds: Vec<Hold>,
     /// Whether the sender is shutting down.
     #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
     pub leaving: bool,
--- a/src/serving/choose.rs
+++ b/src/serving/choose.rs
@@ -42,6 +42,8 @@
     Retry,
     /// The request was sent as often as it may be.
     Attempts,
+    /// The prompt contains a part that crashes endpoints.
+    Quarantine,
 }
 
 impl Unavailable {
@@ -56,6 +58,7 @@
             Self::Full => "endpoints_full",
             Self::Retry => "retry_budget",
             Self::Attempts => "may_not_repeat",
+            Self::Quarantine => "quarantined",
         }
     }
 
@@ -63,7 +66,7 @@
     pub fn is_lasting(self) -> bool {
         matches!(
             self,
-            Self::Endpoint | Self::Model | Self::Retry | Self::Attempts
+            Self::Endpoint | Self::Model | Self::Retry | Self::Attempts | Self::Quarantine
         )
     }
 }
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -38,6 +38,10 @@
     pub resumes: Counter,
     /// Attempts to move streams from silent endpoints, by how they ended.
     pub moves: Family<Move, Counter>,
+    /// Endpoints that ended when they had just begun to respond, as seen by this daemon.
+    pub crashes: Counter,
+    /// Groups of prompt parts whose requests are refused.
+    pub held_parts: Gauge,
     /// Streams that completed but were not on time.
     pub late: Counter,
     /// New connections to endpoints.
@@ -66,6 +70,8 @@
             retries: metric::register(registry, "retries", "Requests sent again"),
             resumes: metric::register(registry, "resumes", "Streams resumed elsewhere"),
             moves: metric::register(registry, "moves", "Moves of streams from silent endpoints"),
+            crashes: metric::register(registry, "crashes", "Responses cut at their start"),
+            held_parts: metric::register(registry, "held_parts", "Prompt parts refused"),
             late: metric::register(registry, "late", "Complete streams not on time"),
             connects: metric::register(registry, "connects", "New connections to endpoints"),
             store_calls: metric::register(registry, "store_calls", "Calls to the store"),
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -19,6 +19,7 @@
 pub mod meter;
 pub mod peers;
 pub mod placer;
+pub mod quarantine;
 pub mod rate;
 pub mod relay;
 pub mod send;
@@ -45,6 +46,7 @@
 use feed::{Feed, Table};
 use settings::{Settings, Tuning};
 
+use crate::coordination::quarantine::Quarantine;
 use crate::coordination::retry::{Limit, Window};
 use crate::state::call::KeepAlive;
 use crate::state::record::Name;
@@ -111,6 +113,8 @@
     /// This daemon's shares of the workspaces' rate limits.
     pub limits: limits::Limits,
     retries: Mutex<HashMap<Name, Window>>,
+    /// Parts of prompts that crash endpoints.
+    pub quarantine: Mutex<Quarantine>,
     /// Demand to report to the placer.
     pub demand: demand::Demand,
     /// Model placement.
@@ -367,6 +371,7 @@
         pool: Pool::default(),
         limits: limits::Limits::default(),
         retries: Mutex::default(),
+        quarantine: Mutex::default(),
         demand: demand::Demand::default(),
         placer: placer::Placer::open(settings.placement_lease),
         journal: journal::Journal::default(),
--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -7,7 +7,7 @@
 
 use super::{LONGEST_LAG, MAX_LAG, Peer, apply_holdings, send, source, update_remote_in_flight};
 use crate::protocol::digest::{Ask, Body, Digest, Registration, State};
-use crate::serving::Node;
+use crate::serving::{Node, quarantine};
 use crate::transport::gossip::MAX_BYTES;
 
 /// Time for which this daemon's feed may fail before it relies on what peers report.
@@ -74,6 +74,7 @@
                 update_remote_in_flight(node, &before.flights, &state.flights);
             }
             catch_up(node, &state, &registration, now);
+            quarantine::adopt(node, state.holds);
         }
         Body::Ask(ask) => answer_ask(node, &ask, from),
         Body::Grant(grant) => node.limits.granted(node, grant),
@@ -85,6 +86,8 @@
         Body::Demand(demand) => node.placer.record_demand(&demand, now),
         Body::Wanted(wanted) => node.placer.add_wanted(wanted, registration.zone),
         Body::Held(holdings) => apply_holdings(node, holdings, now),
+        Body::Crashed(occurrence) => quarantine::record(node, occurrence),
+        Body::Sound(parts) => quarantine::clear(node, &parts),
     }
 }
 
--- a/src/serving/peers/sender.rs
+++ b/src/serving/peers/sender.rs
@@ -9,7 +9,7 @@
     HEARTBEAT_INTERVAL, Peers, broadcast, broadcast_in_zone, send, update_remote_in_flight,
 };
 use crate::protocol::digest::{Body, State};
-use crate::serving::{Node, jitter};
+use crate::serving::{Node, jitter, quarantine};
 
 /// Sends this daemon's state to its peers until the daemon stops: in its zone in every heartbeat, to other zones more
 /// rarely, in proportion to the size of the fleet.
@@ -98,6 +98,7 @@
         flights: in_flight.collect(),
         placing: node.placer.fence(node),
         registration: None,
+        holds: quarantine::holds(node),
         leaving: node.leaving.is_cancelled(),
     }
 }
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -9,11 +9,10 @@
 use http_body_util::{BodyExt, Full};
 use tokio::time::timeout;
 
-use super::Node;
 use super::admit::{Admission, Refusal};
 use super::choose::{Choice, Unavailable};
 use super::send::{Context, Exchange, FULL_PAUSE, Outcome, Pending, Phase};
-use super::stream;
+use super::{Node, quarantine, stream};
 use crate::protocol::connection;
 use crate::state::call::Call;
 use crate::transport::exchange::read_whole;
@@ -50,7 +49,9 @@
         token: node.requests.token(),
         phase: Phase::Choosing,
     };
-    node.demand.record(&ctx.call);
+    if quarantine::held(node, &ctx.call).is_none() {
+        node.demand.record(&ctx.call);
+    }
     let wait_started = node.now();
     let mut failure: Option<Response<Body>> = None;
     // Endpoints that were silent so far; they are listened to until one has answered.
@@ -167,6 +168,7 @@
         Unavailable::Adapter => Duration::from_millis(300),
         Unavailable::Paused => Duration::from_millis(400),
         Unavailable::Retry | Unavailable::Attempts => FULL_PAUSE,
+        Unavailable::Quarantine => quarantine::held(node, &ctx.call).unwrap_or(FULL_PAUSE),
         Unavailable::Cold | Unavailable::Full => {
             // Spread so that callers do not retry at the same time.
             let jitter = (node.now().subsec_micros() % 1000) + 500;
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use futures::future::select_all;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -16,7 +16,7 @@
 use super::admit::Admission;
 use super::choose::{self, Choice, Unavailable};
 use super::endpoint::{Endpoint, InFlight};
-use super::journal;
+use super::{journal, quarantine};
 use crate::state::call::{Call, Dispatch, Head};
 use crate::state::record::Name;
 use crate::transport::exchange::{Connection, Error};
@@ -59,6 +59,13 @@
 }
 
 impl Exchange {
+    /// Whether the end of the response can be told from the end of its connection.
+    pub fn is_framed(&self) -> bool {
+        let headers = &self.parts.headers;
+        headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Returns the connection to the pool; call it after the whole body was read.
     pub fn release(self, node: &Node) {
         let id = &self.endpoint.entry.id;
@@ -211,6 +218,9 @@
     /// # Errors
     /// The reason why the request can't be sent now.
     pub fn choose(&self) -> Result<Choice, Unavailable> {
+        if quarantine::held(&self.node, &self.call).is_some() {
+            return Err(Unavailable::Quarantine);
+        }
         let choice = choose::choose(&self.node, &self.admission, &self.call, &self.tried)?;
         if !self.take_retry() {
             return Err(Unavailable::Retry);
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -12,10 +12,11 @@
 use tokio::time::{sleep, timeout};
 
 use super::choose::{self, Choice, Unavailable};
-use super::journal;
 use super::meter::Move;
+use super::quarantine::{START, SURVIVAL};
 use super::relay::{Body, empty_body, forwarded_parts};
 use super::send::{Context, Exchange, Outcome, Pending, Phase};
+use super::{journal, quarantine};
 use crate::state::record::Name;
 use crate::transport::exchange;
 
@@ -137,6 +138,8 @@
     silent_since: Duration,
     /// Attempt to move the stream to another endpoint.
     moving: Option<Moving>,
+    /// Whether the request has outlived the start of a response.
+    has_survived: bool,
 }
 
 /// A stream that was sent to another endpoint, because its own is silent.
@@ -182,6 +185,7 @@
         last_event_at: Duration::ZERO,
         longest_pause: Duration::ZERO,
         moving: None,
+        has_survived: false,
     };
     let first = match forwarder.next().await {
         Ok(first) => first,
@@ -230,6 +234,9 @@
             match self.receive().await {
                 Received::Events(bytes) => {
                     self.record_event();
+                    if self.since_head() >= SURVIVAL {
+                        self.record_survival();
+                    }
                     return Ok(Some(bytes));
                 }
                 Received::Incomplete => {}
@@ -237,6 +244,9 @@
                     if self.longest_pause <= self.ctx.admission.route.gap {
                         self.record_lateness(false);
                     }
+                    if self.since_head() >= SURVIVAL || self.is_framed() {
+                        self.record_survival();
+                    }
                     if let Some(exchange) = self.exchange.take() {
                         self.log_late(&exchange);
                         exchange.release(&self.ctx.node);
@@ -245,6 +255,9 @@
                 }
                 Received::TimedOut => self.try_move().await,
                 Received::Failed(reason) => {
+                    if matches!(reason, "stream_broken" | "stream_cut") {
+                        self.record_crash();
+                    }
                     if !self.resume(reason).await {
                         return Err(reason);
                     }
@@ -289,7 +302,7 @@
             Ok(First::Frame(frame)) => frame,
         };
         let frame = match frame {
-            None if self.events.is_partial() => return Received::Failed("stream_cut"),
+            None if self.is_cut() => return Received::Failed("stream_cut"),
             Some(Err(_)) => return Received::Failed("stream_broken"),
             frame => frame,
         };
@@ -308,6 +321,40 @@
         }
     }
 
+    /// Whether a stream that ends now was broken off: within an event, or before the first one.
+    fn is_cut(&self) -> bool {
+        let has_event = self.first_event_after.is_some() || self.ctx.call.last_event.is_some();
+        self.events.is_partial() || !has_event
+    }
+
+    fn is_framed(&self) -> bool {
+        self.exchange.as_ref().is_some_and(|it| it.is_framed())
+    }
+
+    /// Time since the head of the current endpoint's response.
+    fn since_head(&self) -> Duration {
+        let now = self.ctx.node.now();
+        let answered_at = self.exchange.as_ref().map_or(now, |it| it.answered_at);
+        now.saturating_sub(answered_at)
+    }
+
+    /// Records that the request does not crash endpoints.
+    fn record_survival(&mut self) {
+        if !std::mem::replace(&mut self.has_survived, true) {
+            quarantine::survived(&self.ctx.node, &self.ctx.call);
+        }
+    }
+
+    /// Records that the endpoint ended, unless the request ran there or elsewhere for long enough.
+    fn record_crash(&self) {
+        if let Some(exchange) = &self.exchange
+            && !self.has_survived
+            && self.since_head() < START
+        {
+            quarantine::crashed(&self.ctx.node, &self.ctx.call, &exchange.endpoint);
+        }
+    }
+
     /// Time left before a silent endpoint is replaced.
     fn silence_timeout(&self) -> Duration {
         let longest = (self.ctx.admission.route.gap * SILENCE_GAPS).max(MIN_SILENCE);
