--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -13,8 +13,10 @@
 
 use super::choose::{self, Choice, Unavailable};
 use super::meter::Move;
+use super::quarantine::{START, SURVIVAL};
 use super::relay::{Body, empty_body, forwarded_parts};
 use super::send::{Context, Exchange, Outcome, Pending, Phase};
+use super::{journal, quarantine};
 use crate::state::record::Name;
 use crate::transport::exchange;
 
@@ -136,6 +138,8 @@
     silent_since: Duration,
     /// Attempt to move the stream to another endpoint.
     moving: Option<Moving>,
+    /// Whether the request has outlived the start of a response.
+    has_survived: bool,
 }
 
 /// A stream that was sent to another endpoint, because its own is silent.
@@ -181,6 +185,7 @@
         last_event_at: Duration::ZERO,
         longest_pause: Duration::ZERO,
         moving: None,
+        has_survived: false,
     };
     let first = match forwarder.next().await {
         Ok(first) => first,
@@ -229,6 +234,9 @@
             match self.receive().await {
                 Received::Events(bytes) => {
                     self.record_event();
+                    if self.since_head() >= SURVIVAL {
+                        self.record_survival();
+                    }
                     return Ok(Some(bytes));
                 }
                 Received::Incomplete => {}
@@ -236,6 +244,9 @@
                     if self.longest_pause <= self.ctx.admission.route.gap {
                         self.record_lateness(false);
                     }
+                    if self.since_head() >= SURVIVAL || self.is_framed() {
+                        self.record_survival();
+                    }
                     if let Some(exchange) = self.exchange.take() {
                         self.log_late(&exchange);
                         exchange.release(&self.ctx.node);
@@ -244,6 +255,9 @@
                 }
                 Received::TimedOut => self.try_move().await,
                 Received::Failed(reason) => {
+                    if matches!(reason, "stream_broken" | "stream_cut") {
+                        self.record_crash();
+                    }
                     if !self.resume(reason).await {
                         return Err(reason);
                     }
@@ -288,7 +302,7 @@
             Ok(First::Frame(frame)) => frame,
         };
         let frame = match frame {
-            None if self.events.is_partial() => return Received::Failed("stream_cut"),
+            None if self.is_cut() => return Received::Failed("stream_cut"),
             Some(Err(_)) => return Received::Failed("stream_broken"),
             frame => frame,
         };
@@ -307,6 +321,40 @@
         }
     }
 
+    /// Whether a stream that ends now was broken off: within an event, or before the first one.
+    fn is_cut(&self) -> bool {
+        let has_event = self.first_event_after.is_some() || self.ctx.call.last_event.is_some();
+        self.events.is_partial() || !has_event
+    }
+
+    fn is_framed(&self) -> bool {
+        self.exchange.as_ref().is_some_and(|it| it.is_framed())
+    }
+
+    /// Time since the head of the current endpoint's response.
+    fn since_head(&self) -> Duration {
+        let now = self.ctx.node.now();
+        let answered_at = self.exchange.as_ref().map_or(now, |it| it.answered_at);
+        now.saturating_sub(answered_at)
+    }
+
+    /// Records that the request does not crash endpoints.
+    fn record_survival(&mut self) {
+        if !std::mem::replace(&mut self.has_survived, true) {
+            quarantine::survived(&self.ctx.node, &self.ctx.call);
+        }
+    }
+
+    /// Records that the endpoint ended, unless the request ran there or elsewhere for long enough.
+    fn record_crash(&self) {
+        if let Some(exchange) = &self.exchange
+            && !self.has_survived
+            && self.since_head() < START
+        {
+            quarantine::crashed(&self.ctx.node, &self.ctx.call, &exchange.endpoint);
+        }
+    }
+
     /// Time left before a silent endpoint is replaced.
     fn silence_timeout(&self) -> Duration {
         let longest = (self.ctx.admission.route.gap * SILENCE_GAPS).max(MIN_SILENCE);
@@ -468,6 +516,7 @@
         let node = self.ctx.node.clone();
         let broken = exchange.endpoint.entry.id.clone();
         exchange.endpoint.tracker.lock().health.failed(node.now());
+        let since_head = node.now().saturating_sub(exchange.answered_at);
         // Dropping the connection stops the endpoint before another one resumes.
         drop(exchange);
         self.events.discard_partial();
@@ -487,6 +536,8 @@
                 resumed = resumed,
                 because = outcome.err().unwrap_or("-"),
                 silent_ms = silent.as_millis() as u64,
+                since_head_ms = since_head.as_millis() as u64,
+                parts: = journal::hex(&self.ctx.call.shared_parts()),
                 runs = self.ctx.runs,
             });
         });
