--- a/src/serving/accept.rs
+++ b/src/serving/accept.rs
@@ -1,6 +1,8 @@
 //! Listeners for callers, the platform's readiness checks and metrics.
 
 use std::convert::Infallible;
+use std::error::Error;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -89,16 +91,36 @@
             .header_read_timeout(IDLE_TIMEOUT)
             .serve_connection(TokioIo::new(stream), service)
     );
-    // Not logged: each request records how it ended, and a caller that disconnects is not an error.
-    tokio::select! {
-        _ = connection.as_mut() => {}
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
         () = node.closing.cancelled() => {
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        node.meter.failed_connections.inc();
+        // A caller that disconnects is not an error, and broken streams are logged with their requests.
+        if !is_disconnect(&error) && !error.is_user() {
+            node.journal.line(
+                || spdlog::info!("accept: connection failed", kv: { peer: = peer, role:? = role, error:? = error }),
+            );
         }
     }
 }
 
+/// Whether a connection failed because its peer closed or reset it.
+fn is_disconnect(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|cause| cause.downcast_ref());
+    let is_reset = cause.is_some_and(|cause: &std::io::Error| {
+        matches!(
+            cause.kind(),
+            ErrorKind::ConnectionReset | ErrorKind::BrokenPipe | ErrorKind::NotConnected
+        )
+    });
+    is_reset || error.is_incomplete_message() || error.is_canceled() || error.is_closed()
+}
+
 async fn respond(node: &Arc<Node>, request: Request<Incoming>, role: Role) -> Response<Body> {
     match role {
         Role::Callers => handle(node, request).await,
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -44,6 +44,8 @@
     pub held_parts: Gauge,
     /// Streams that completed but were not on time.
     pub late: Counter,
+    /// Connections from callers and checks that ended with an error.
+    pub failed_connections: Counter,
     /// New connections to endpoints.
     pub connects: Counter,
     /// Calls to the platform's store.
@@ -73,6 +75,11 @@
             crashes: metric::register(registry, "crashes", "Responses cut at their start"),
             held_parts: metric::register(registry, "held_parts", "Prompt parts refused"),
             late: metric::register(registry, "late", "Complete streams not on time"),
+            failed_connections: metric::register(
+                registry,
+                "failed_connections",
+                "Connections from callers that ended with an error",
+            ),
             connects: metric::register(registry, "connects", "New connections to endpoints"),
             store_calls: metric::register(registry, "store_calls", "Calls to the store"),
             orders: metric::register(registry, "orders", "Orders to engines"),
