Keep polls of the store short after a failed read

Cause: the store did not answer for 4.5 s. The polls that were sent in this time wait for a change for 10 s and time out after 11.2 s, long after the store was back, and all readers had sent theirs in the same moment, so no heartbeat showed a newer version.

polls_after_a_failed_read_are_short failed before (10 s) and passes.

--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -27,6 +27,9 @@
 /// Time that a long poll waits for a change in a large fleet, so that a connection that hangs is noticed.
 const LARGE_FLEET_POLL_WAIT: Duration = Duration::from_millis(1500);
 
+/// Time that a poll waits for a change after a failed read, so that a store that did not answer is soon asked again.
+const RECOVERY_POLL_WAIT: Duration = Duration::from_millis(300);
+
 /// Timeout of a call, in addition to the time of a long poll.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
 
@@ -179,6 +182,7 @@
     let mut channel = Channel::open(node.settings.store_address);
     let mut selector = Selector::default();
     let mut version = None;
+    let mut has_failed = false;
     loop {
         let readers = node.peers.readers(&node.settings, node.now());
         let source = match version {
@@ -186,8 +190,12 @@
             None if !feed.stale(Duration::ZERO, node.now()) => Source::Store,
             _ => selector.choose(&node.settings.name, &readers, node.now()),
         };
+        let poll_wait = match has_failed {
+            true => RECOVERY_POLL_WAIT,
+            false => poll_wait(node),
+        };
         let result = tokio::select! {
-            result = read(node, table, &source, &channel, version) => result,
+            result = read(node, table, &source, &channel, version, poll_wait) => result,
             () = feed.nudge.notified() => {
                 // The connection may be dead without having been reset.
                 channel = Channel::open(node.settings.store_address);
@@ -196,6 +204,7 @@
             }
         };
         let now = node.now();
+        has_failed = result.is_err();
         match result {
             Ok(changes) => {
                 selector.succeeded(&source);
@@ -262,16 +271,25 @@
     }
 }
 
+/// Time that a poll of the store waits for a change.
+fn poll_wait(node: &Node) -> Duration {
+    match node.peers.interval_factor() {
+        1 => POLL_WAIT,
+        _ => LARGE_FLEET_POLL_WAIT,
+    }
+}
+
 async fn read(
     node: &Node,
     table: Table,
     source: &Source,
     channel: &Channel,
     version: Option<u64>,
+    poll_wait: Duration,
 ) -> Result<Changes, Error> {
     match (source, version) {
         (Source::Store, None) => read_all(node, table, channel).await,
-        (Source::Store, Some(after)) => read_changes(node, table, channel, after).await,
+        (Source::Store, Some(after)) => read_changes(node, table, channel, after, poll_wait).await,
         (Source::Peer(reader), after) => {
             let (changes, deferral) =
                 source::follow(node, reader, table, after.unwrap_or_default()).await?;
@@ -286,13 +304,10 @@
     table: Table,
     channel: &Channel,
     after: u64,
+    poll_wait: Duration,
 ) -> Result<Changes, Error> {
-    let wait = match node.peers.interval_factor() {
-        1 => POLL_WAIT,
-        _ => LARGE_FLEET_POLL_WAIT,
-    };
-    let request = (node.codec.follow)(table_name(node, table), after, wait);
-    let page = fetch(node, channel, request, wait + CALL_TIMEOUT).await?;
+    let request = (node.codec.follow)(table_name(node, table), after, poll_wait);
+    let page = fetch(node, channel, request, poll_wait + CALL_TIMEOUT).await?;
     Ok(Changes {
         rows: page.rows,
         version: page.version,
