Read the operators' table when the endpoints' table shows that the store is back

The endpoints' table changes often, so its reads show earlier that the store is back.

operators_table_is_read_when_the_endpoints_table_is_back failed before (no change within 20 s) and passes.

--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -215,6 +215,10 @@
                         source:? = source,
                         version = changes.version,
                     });
+                    if table == Table::Endpoints {
+                        // It changes often, so a store that was silent is noticed here first.
+                        node.operator_feed.nudge.notify_one();
+                    }
                 }
                 version = Some(changes.version.max(version.unwrap_or_default()));
                 if changes.all && node.now() < STARTUP {
