Listen to all endpoints that were asked at the same time

A send no longer waits on its own: all pending responses are awaited together, another endpoint is asked when all are late, and a plain answer keeps the others pending until its body is whole.

--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -36,6 +36,8 @@
     pub retries: Counter,
     /// Streams resumed at another endpoint.
     pub resumes: Counter,
+    /// Responses whose head was late.
+    pub late_heads: Counter,
     /// Attempts to move streams from silent endpoints, by how they ended.
     pub moves: Family<Move, Counter>,
     /// Endpoints that ended when they had just begun to respond, as seen by this daemon.
@@ -71,6 +73,7 @@
             first_byte,
             retries: metric::register(registry, "retries", "Requests sent again"),
             resumes: metric::register(registry, "resumes", "Streams resumed elsewhere"),
+            late_heads: metric::register(registry, "late_heads", "Responses whose head was late"),
             moves: metric::register(registry, "moves", "Moves of streams from silent endpoints"),
             crashes: metric::register(registry, "crashes", "Responses cut at their start"),
             held_parts: metric::register(registry, "held_parts", "Prompt parts refused"),
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -54,53 +54,59 @@
     }
     let wait_started = node.now();
     let mut failure: Option<Response<Body>> = None;
-    // Endpoints that were silent so far; they are listened to until one has answered.
-    let mut silent: Vec<Pending> = Vec::new();
+    // All endpoints that were asked are listened to until one has answered.
+    let mut pending: Vec<Pending> = Vec::new();
     loop {
         if ctx.is_out_of_time() {
             let refusal = Refusal::busy("out_of_time", RETRY_INTERVAL);
             return fail(&mut ctx, failure, refusal);
         }
-        let outcome = match next_endpoint(&mut ctx, wait_started).await {
-            Ok(choice) => {
-                let (resume_after, max_wait) = (ctx.call.last_event, ctx.max_wait(&silent));
-                ctx.send(&choice, resume_after, max_wait).await
-            }
-            Err(refusal) if silent.is_empty() || failure.is_some() => {
-                return fail(&mut ctx, failure, refusal);
-            }
-            Err(_) => {
-                let max_wait = SILENT_RETRY_INTERVAL.min(ctx.remaining());
-                match ctx.receive_any(&mut silent, max_wait).await {
-                    Some(outcome) => outcome,
-                    None => continue,
+        if ctx.all_late(&mut pending) {
+            match next_endpoint(&mut ctx, wait_started).await {
+                Ok(choice) => {
+                    let resume_after = ctx.call.last_event;
+                    pending.extend(ctx.open(&choice, resume_after).await);
                 }
-            }
-        };
-        match outcome {
-            Outcome::Answered(exchange) => {
-                let retry = exchange.parts.status.is_server_error() && ctx.can_retry();
-                if !retry {
-                    // The others must not go on beside the endpoint that has answered.
-                    silent.clear();
-                }
-                if ctx.admission.route.kind.is_streaming() && exchange.parts.status.is_success() {
-                    return match stream::answer(ctx, *exchange).await {
-                        Ok(response) => response,
-                        Err((mut ctx, reason)) => {
-                            let Refusal { status, .. } = response_lost(ctx.is_out_of_time());
-                            fail(&mut ctx, failure, Refusal::invalid(status, reason))
-                        }
-                    };
-                }
-                match read_response(node, &ctx, *exchange).await {
-                    Some(response) if retry => failure = Some(response),
-                    Some(response) => return complete(&mut ctx, response),
-                    None => {}
+                Err(refusal) if pending.is_empty() || failure.is_some() => {
+                    return fail(&mut ctx, failure, refusal);
                 }
+                Err(_) => {}
             }
-            Outcome::TimedOut(pending) => silent.push(*pending),
-            Outcome::Rejected | Outcome::Unsent | Outcome::Broken => {}
+        }
+        if pending.is_empty() {
+            continue;
+        }
+        let max_wait = ctx.max_wait(&pending, SILENT_RETRY_INTERVAL);
+        let Some(Outcome::Answered(exchange)) = ctx.receive_any(&mut pending, max_wait).await
+        else {
+            continue;
+        };
+        let status = exchange.parts.status;
+        if ctx.admission.route.kind.is_streaming() && status.is_success() {
+            // The others must not go on beside the endpoint that has begun.
+            pending.clear();
+            return forward_stream(ctx, *exchange, failure).await;
+        }
+        let retry = status.is_server_error() && ctx.can_retry();
+        match read_response(node, &ctx, *exchange).await {
+            Some(response) if retry => failure = Some(response),
+            Some(response) => return complete(&mut ctx, response),
+            None => {}
+        }
+    }
+}
+
+/// Forwards a stream; if it broke before its first event, returns the endpoint's `failure` or an error.
+async fn forward_stream(
+    ctx: Context,
+    exchange: Exchange,
+    failure: Option<Response<Body>>,
+) -> Response<Body> {
+    match stream::answer(ctx, exchange).await {
+        Ok(response) => response,
+        Err((mut ctx, reason)) => {
+            let Refusal { status, .. } = response_lost(ctx.is_out_of_time());
+            fail(&mut ctx, failure, Refusal::invalid(status, reason))
         }
     }
 }
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -80,6 +80,10 @@
     flight: InFlight,
     sent_at: Duration,
     response: Pin<Box<dyn Future<Output = Result<Response<Incoming>, Error>> + Send>>,
+    /// Time from which the response is late, so that another endpoint may be asked.
+    late_at: Duration,
+    /// Whether it was recorded that the response is late.
+    is_late: bool,
 }
 
 impl Pending {
@@ -109,8 +113,6 @@
     Unsent,
     /// The request may have run; its response is lost.
     Broken,
-    /// The request may run; no response came in time.
-    TimedOut(Box<Pending>),
 }
 
 impl Outcome {
@@ -121,7 +123,6 @@
             Self::Rejected => "turned_away",
             Self::Unsent => "unsent",
             Self::Broken => "broken",
-            Self::TimedOut(_) => "silent",
         }
     }
 }
@@ -238,6 +239,7 @@
             // The deadline has passed while the connection was opened, or while this process did not run.
             return None;
         }
+        let now = self.node.now();
         let dispatch = self.dispatch(choice, resume_after);
         let request = (self.node.codec.dispatch)(&self.call, &dispatch);
         self.phase = Phase::Sent;
@@ -245,31 +247,35 @@
         self.count_run(choice);
         Some(Pending {
             choice: choice.clone(),
-            sent_at: self.node.now(),
+            sent_at: now,
             response: Box::pin(connection.start(request)),
             connection,
             flight,
+            late_at: now + self.head_timeout(),
+            is_late: false,
         })
     }
 
-    /// Sends the request to an endpoint and waits for the head of the response, `max_wait` at most.
-    pub async fn send(
-        &mut self,
-        choice: &Choice,
-        resume_after: Option<u64>,
-        max_wait: Duration,
-    ) -> Outcome {
-        let Some(mut pending) = self.open(choice, resume_after).await else {
-            return Outcome::Unsent;
-        };
-        let head_timeout = self.head_timeout().min(max_wait);
-        match timeout(head_timeout, pending.response()).await {
-            Ok(response) => self.settle(pending, response).await,
-            Err(_) => {
-                self.note_silence(&pending);
-                Outcome::TimedOut(Box::new(pending))
+    /// Whether all responses are late, so that another endpoint may be asked; records those that have become late.
+    pub fn all_late(&self, pending: &mut [Pending]) -> bool {
+        let now = self.node.now();
+        for pending in pending.iter_mut() {
+            if now >= pending.late_at && !pending.is_late {
+                pending.is_late = true;
+                self.record_late(pending, now);
             }
         }
+        pending.iter().all(|pending| pending.is_late)
+    }
+
+    /// Time to wait for responses before another endpoint is looked for: until the last one is late, or `interval` if
+    /// all are.
+    pub fn max_wait(&self, pending: &[Pending], interval: Duration) -> Duration {
+        let now = self.node.now();
+        let in_time = pending.iter().filter(|pending| !pending.is_late);
+        let late_at = in_time.map(|pending| pending.late_at).max();
+        let wait = late_at.map_or(interval, |late_at| late_at.saturating_sub(now));
+        wait.min(self.remaining())
     }
 
     /// Waits for the first response to the requests that were sent before; `None` if none comes within `max_wait`.
@@ -323,14 +329,11 @@
         }
     }
 
-    /// Records that an endpoint has not responded. A wait that was cut short says nothing about its health.
-    fn note_silence(&self, pending: &Pending) {
-        let now = self.node.now();
+    fn record_late(&self, pending: &Pending, now: Duration) {
+        let tracker = &pending.choice.endpoint.tracker;
+        tracker.lock().health.silent(now);
+        self.node.meter.late_heads.inc();
         let waited = now.saturating_sub(pending.sent_at);
-        if waited >= self.patience() {
-            let tracker = &pending.choice.endpoint.tracker;
-            tracker.lock().health.silent(now);
-        }
         let detail = format!("waited_ms={}", waited.as_millis());
         self.log("silent", &pending.choice, &detail);
     }
@@ -434,14 +437,6 @@
         patience.max(MIN_HEAD_TIMEOUT).min(self.remaining())
     }
 
-    /// Time to wait for the next endpoint's response before the `silent` ones are listened to again.
-    pub fn max_wait(&self, silent: &[Pending]) -> Duration {
-        match silent.is_empty() {
-            true => self.remaining(),
-            false => self.patience(),
-        }
-    }
-
     fn note_rejection(&self, choice: &Choice, head: &Head, parts: &http::response::Parts) {
         let now = self.node.now();
         let entry = &choice.endpoint.entry;
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -544,53 +544,46 @@
         resumed
     }
 
-    /// Resumes at another endpoint after the event `last`. Endpoints in `silent`, and those that do not respond in time,
-    /// are listened to until one has begun to respond.
+    /// Resumes at another endpoint after the event `last`. All endpoints that were asked, also those in `pending`, are
+    /// listened to until one has begun to respond.
     async fn reconnect(
         &mut self,
         last: Option<u64>,
-        mut silent: Vec<Pending>,
+        mut pending: Vec<Pending>,
     ) -> Result<(), &'static str> {
         let deadline = self.ctx.node.now() + self.caller_patience();
         let mut attempts = 0;
-        // An endpoint that was asked before is given the usual time before another one is.
-        let mut max_wait = self.ctx.max_wait(&silent);
         loop {
-            let outcome = match silent.is_empty() {
-                true => None,
-                false => self.ctx.receive_any(&mut silent, max_wait).await,
-            };
-            max_wait = RETRY_INTERVAL.min(self.ctx.remaining());
-            let outcome = match outcome {
-                Some(outcome) => outcome,
-                None if self.ctx.is_out_of_time() => return Err("out_of_time"),
-                None => match self.next_endpoint(attempts) {
+            if self.ctx.is_out_of_time() {
+                return Err("out_of_time");
+            }
+            if self.ctx.all_late(&mut pending) {
+                match self.next_endpoint(attempts) {
                     Ok(choice) => {
                         attempts += 1;
-                        let max_wait = self.ctx.max_wait(&silent);
-                        self.ctx.send(&choice, last, max_wait).await
+                        pending.extend(self.ctx.open(&choice, last).await);
                     }
-                    Err(_) if !silent.is_empty() => continue,
+                    Err(_) if !pending.is_empty() => {}
                     Err(cause) if cause.is_lasting() => return Err(cause.reason()),
                     Err(cause) if self.ctx.node.now() + RETRY_INTERVAL > deadline => {
                         return Err(cause.reason());
                     }
-                    Err(_) => {
-                        sleep(RETRY_INTERVAL).await;
-                        continue;
-                    }
-                },
-            };
-            match outcome {
-                Outcome::Answered(exchange) if exchange.parts.status.is_success() => {
-                    let node = &self.ctx.node;
-                    node.meter.resumes.inc();
-                    self.silent_since = node.now();
-                    self.exchange = Some(exchange);
-                    return Ok(());
+                    Err(_) => sleep(RETRY_INTERVAL).await,
                 }
-                Outcome::TimedOut(pending) => silent.push(*pending),
-                _ => {}
+            }
+            if pending.is_empty() {
+                continue;
+            }
+            let max_wait = self.ctx.max_wait(&pending, RETRY_INTERVAL);
+            let outcome = self.ctx.receive_any(&mut pending, max_wait).await;
+            if let Some(Outcome::Answered(exchange)) = outcome
+                && exchange.parts.status.is_success()
+            {
+                let node = &self.ctx.node;
+                node.meter.resumes.inc();
+                self.silent_since = node.now();
+                self.exchange = Some(exchange);
+                return Ok(());
             }
         }
     }
