Count a crash at any time before the first event, refuse with a short Retry-After

A request without an event since its head is evidence now whenever its endpoint ends; a bystander with events, whose parts were all sound lately, is no evidence and is not reported.

Retry-After is 2 s at most, as the parts may be found sound at any time. Running streams clear their parts whenever these are held. An answer without a length that ends before its first event is taken as cut also where a caller resumes.

--- a/src/serving/choose.rs
+++ b/src/serving/choose.rs
@@ -26,6 +26,12 @@
 /// Reason why no endpoint can be used, ordered from the least to the most likely to pass.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Unavailable {
+    /// The request was sent as often as it may be.
+    Attempts,
+    /// The prompt contains a part that crashes endpoints.
+    Quarantine,
+    /// An endpoint can be used, but no retry is left to send the request again.
+    Retry,
     /// No endpoint of the service is known, or all were tried.
     Endpoint,
     /// No endpoint has the model.
@@ -38,12 +44,6 @@
     Cold,
     /// Endpoints are full.
     Full,
-    /// An endpoint can be used, but no retry is left to send the request again.
-    Retry,
-    /// The request was sent as often as it may be.
-    Attempts,
-    /// The prompt contains a part that crashes endpoints.
-    Quarantine,
 }
 
 impl Unavailable {
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -40,7 +40,7 @@
     pub late_heads: Counter,
     /// Attempts to move streams from silent endpoints, by how they ended.
     pub moves: Family<Move, Counter>,
-    /// Endpoints that ended when they had just begun to respond, as seen by this daemon.
+    /// Responses that were cut at their start, as evidence against the parts of their prompts.
     pub crashes: Counter,
     /// Groups of prompt parts whose requests are refused.
     pub held_parts: Gauge,
@@ -76,7 +76,7 @@
             late_heads: metric::register(registry, "late_heads", "Responses whose head was late"),
             moves: metric::register(registry, "moves", "Moves of streams from silent endpoints"),
             crashes: metric::register(registry, "crashes", "Responses cut at their start"),
-            held_parts: metric::register(registry, "held_parts", "Prompt parts refused"),
+            held_parts: metric::register(registry, "held_parts", "Groups of prompt parts refused"),
             late: metric::register(registry, "late", "Complete streams not on time"),
             failed_connections: metric::register(
                 registry,
--- a/src/serving/quarantine.rs
+++ b/src/serving/quarantine.rs
@@ -10,20 +10,28 @@
 use crate::protocol::digest::Body;
 use crate::state::call::Call;
 
-/// Time after the head of a response within which the end of the endpoint is held against the request.
-pub const START: Duration = Duration::from_millis(500);
+/// Time after the head of a response within which the end of the endpoint is held against a request that has got an
+/// event.
+pub const CRASH_WINDOW: Duration = Duration::from_millis(500);
 
 /// Time after the head of a response from which the request has outlived its start.
-pub const SURVIVAL: Duration = Duration::from_secs(1);
+pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 
-/// Time for which a call is refused because of its prompt, if it is.
+/// Longest `Retry-After` of a refused request; the parts may be found sound at any time.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Time after which a call that is refused because of its prompt may be sent again; `None` if it is not refused.
 pub fn held(node: &Node, call: &Call) -> Option<Duration> {
+    if node.meter.held_parts.get() == 0 {
+        return None;
+    }
     let quarantine = node.quarantine.lock();
-    quarantine.held(&call.shared_parts(), node.now())
+    let left = quarantine.held(&call.shared_parts(), node.now())?;
+    Some(left.min(MAX_RETRY_AFTER))
 }
 
-/// Records that an endpoint ended when it had just begun to respond to a call.
-pub fn crashed(node: &Node, call: &Call, endpoint: &Endpoint) {
+/// Records that an endpoint ended when it had just begun to respond to a call, with or without an event.
+pub fn crashed(node: &Node, call: &Call, endpoint: &Endpoint, has_event: bool) {
     let parts = call.shared_parts();
     if parts.is_empty() {
         return;
@@ -42,10 +50,14 @@
             parts: parts.into_iter().map(suspect).collect(),
         }
     };
+    if has_event && occurrence.parts.iter().all(|suspect| suspect.vouched) {
+        // Most likely a bystander of the request that crashed the endpoint.
+        return;
+    }
     node.meter.crashes.inc();
     let unvouched = occurrence.parts.iter().filter(|suspect| !suspect.vouched);
     let unvouched: Vec<u64> = unvouched.map(|suspect| suspect.part).collect();
-    spdlog::info!("quarantine: endpoint ended", kv: {
+    spdlog::info!("quarantine: response cut at its start", kv: {
         request: = call.id,
         endpoint: = entry.id,
         parts = occurrence.parts.len(),
@@ -100,7 +112,9 @@
 
 /// Holds in force, for peers.
 pub fn holds(node: &Node) -> Vec<Hold> {
-    node.quarantine.lock().holds(node.now())
+    let holds = node.quarantine.lock().holds(node.now());
+    node.meter.held_parts.set(holds.len() as i64);
+    holds
 }
 
 /// Changes the quarantine and logs which parts are held or no longer held.
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -13,7 +13,7 @@
 
 use super::choose::{self, Choice, Unavailable};
 use super::meter::Move;
-use super::quarantine::{START, SURVIVAL};
+use super::quarantine::{CRASH_WINDOW, SURVIVAL_TIME};
 use super::relay::{Body, empty_body, forwarded_parts};
 use super::send::{Context, Exchange, Outcome, Pending, Phase};
 use super::{journal, quarantine};
@@ -234,7 +234,7 @@
             match self.receive().await {
                 Received::Events(bytes) => {
                     self.record_event();
-                    if self.since_head() >= SURVIVAL {
+                    if self.since_head() >= SURVIVAL_TIME {
                         self.record_survival();
                     }
                     return Ok(Some(bytes));
@@ -244,7 +244,7 @@
                     if self.longest_pause <= self.ctx.admission.route.gap {
                         self.record_lateness(false);
                     }
-                    if self.since_head() >= SURVIVAL || self.is_framed() {
+                    if self.since_head() >= SURVIVAL_TIME || self.is_framed() {
                         self.record_survival();
                     }
                     if let Some(exchange) = self.exchange.take() {
@@ -321,9 +321,11 @@
         }
     }
 
-    /// Whether a stream that ends now was broken off: within an event, or before the first one.
+    /// Whether a stream that ends now was broken off: within an event, or before the first one. A caller's stream that
+    /// resumes after its last event has none.
     fn is_cut(&self) -> bool {
-        let has_event = self.first_event_after.is_some() || self.ctx.call.last_event.is_some();
+        let may_be_empty = self.ctx.call.last_event.is_some() && self.is_framed();
+        let has_event = self.first_event_after.is_some() || may_be_empty;
         self.events.is_partial() || !has_event
     }
 
@@ -338,20 +340,25 @@
         now.saturating_sub(answered_at)
     }
 
-    /// Records that the request does not crash endpoints.
+    /// Records that the request does not crash endpoints, once, and again while its parts are held.
     fn record_survival(&mut self) {
-        if !std::mem::replace(&mut self.has_survived, true) {
-            quarantine::survived(&self.ctx.node, &self.ctx.call);
+        let node = &self.ctx.node;
+        let is_first = !std::mem::replace(&mut self.has_survived, true);
+        if is_first || quarantine::held(node, &self.ctx.call).is_some() {
+            quarantine::survived(node, &self.ctx.call);
         }
     }
 
-    /// Records that the endpoint ended, unless the request ran there or elsewhere for long enough.
+    /// Records that the endpoint ended just after the request had begun there. Until its first event a request that is
+    /// to crash the endpoint may take any time.
     fn record_crash(&self) {
-        if let Some(exchange) = &self.exchange
-            && !self.has_survived
-            && self.since_head() < START
-        {
-            quarantine::crashed(&self.ctx.node, &self.ctx.call, &exchange.endpoint);
+        let Some(exchange) = &self.exchange else {
+            return;
+        };
+        let has_event = self.last_event_at >= exchange.answered_at;
+        if !self.has_survived && (!has_event || self.since_head() < CRASH_WINDOW) {
+            let (node, call) = (&self.ctx.node, &self.ctx.call);
+            quarantine::crashed(node, call, &exchange.endpoint, has_event);
         }
     }
 
