Move the attribution of crashes into a module of its own

coordination/quarantine.rs holds both the search for the cause of crashes and the holds that follow from it, and is about to grow. No change of behaviour.

--- /dev/null
+++ b/src/coordination/attribution.rs
@@ -0,0 +1,127 @@
+//! Attribution of crashes to groups of parts that no report tells apart.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::time::Duration;
+
+use super::quarantine::{Occurrence, Suspect};
+
+/// Number of crashes from which a group of parts is held.
+pub(super) const MIN_CRASHES: usize = 3;
+
+/// Number of crashes from which a group is held whose parts are all vouched for.
+const MIN_VOUCHED_CRASHES: usize = 8;
+
+/// An occurrence and the time for which it counts.
+#[derive(Debug, Clone)]
+pub(super) struct Evidence {
+    pub(super) occurrence: Occurrence,
+    pub(super) seen_at: Duration,
+    pub(super) expires_at: Duration,
+}
+
+/// Parts with the same occurrences.
+#[derive(Debug)]
+pub(super) struct Group {
+    pub(super) parts: Vec<u64>,
+    pub(super) is_vouched: bool,
+    /// Positions of its occurrences, oldest first.
+    pub(super) occurrences: Vec<usize>,
+    pub(super) crashes: BTreeSet<u64>,
+}
+
+/// A group with the number of crashes for which there is no better explanation.
+#[derive(Debug)]
+pub(super) struct Finding {
+    pub(super) group: Group,
+    pub(super) crashes: usize,
+}
+
+impl Evidence {
+    /// Takes over what another report of the occurrence vouches for; returns whether that is new.
+    pub(super) fn vouch(&mut self, parts: &[Suspect]) -> bool {
+        let mut changed = false;
+        for suspect in &mut self.occurrence.parts {
+            let mut others = parts.iter().filter(|other| other.part == suspect.part);
+            let vouched = others.any(|other| other.vouched);
+            changed |= vouched && !suspect.vouched;
+            suspect.vouched |= vouched;
+        }
+        changed
+    }
+}
+
+/// Explains crashes by groups of parts: first by groups that are not vouched for, among them by the one with the
+/// most crashes, and among these by the one with the fewest occurrences. Crashes that a group explains don't count
+/// for those after it.
+pub(super) fn attribute(
+    evidence: &VecDeque<Evidence>,
+    counts: &HashMap<u64, usize>,
+) -> Vec<Finding> {
+    let mut groups = groups(evidence, counts);
+    let mut explained: HashSet<u64> = HashSet::new();
+    let mut findings = Vec::new();
+    loop {
+        let rank = |group: &Group| {
+            let crashes = group.crashes.iter().filter(|it| !explained.contains(it));
+            let crashes = crashes.count();
+            let min_crashes = match group.is_vouched {
+                true => MIN_VOUCHED_CRASHES,
+                false => MIN_CRASHES,
+            };
+            let rank = (group.is_vouched, Reverse(crashes), group.occurrences.len());
+            (crashes >= min_crashes).then_some(rank)
+        };
+        let Some(best) = groups.iter().filter_map(rank).min() else {
+            return findings;
+        };
+        let (_, Reverse(crashes), _) = best;
+        let (found, others): (Vec<Group>, Vec<Group>) =
+            groups.into_iter().partition(|it| rank(it) == Some(best));
+        groups = others;
+        for group in found {
+            explained.extend(&group.crashes);
+            findings.push(Finding { group, crashes });
+        }
+    }
+}
+
+/// Groups of parts that have enough crashes to be held.
+fn groups(evidence: &VecDeque<Evidence>, counts: &HashMap<u64, usize>) -> Vec<Group> {
+    let mut by_part: BTreeMap<u64, (Vec<usize>, bool)> = BTreeMap::new();
+    for (at, it) in evidence.iter().enumerate() {
+        let suspects = it.occurrence.parts.iter();
+        let count = |part| counts.get(part).copied().unwrap_or_default();
+        for suspect in suspects.filter(|it| count(&it.part) >= MIN_CRASHES) {
+            let (occurrences, is_vouched) = by_part.entry(suspect.part).or_default();
+            occurrences.push(at);
+            *is_vouched |= suspect.vouched;
+        }
+    }
+    let mut groups: BTreeMap<Vec<usize>, Group> = BTreeMap::new();
+    for (part, (occurrences, is_vouched)) in by_part {
+        let crash = |at: &usize| evidence.get(*at).map(|it| it.occurrence.crash);
+        let crashes: BTreeSet<u64> = occurrences.iter().filter_map(crash).collect();
+        let group = groups.entry(occurrences.clone()).or_insert(Group {
+            parts: Vec::new(),
+            is_vouched: true,
+            occurrences,
+            crashes,
+        });
+        group.parts.push(part);
+        group.is_vouched &= is_vouched;
+    }
+    groups.into_values().collect()
+}
+
+/// Number of crashes with an occurrence that contains all these parts.
+pub(super) fn count_crashes(evidence: &VecDeque<Evidence>, parts: &[u64]) -> usize {
+    let contains = |occurrence: &Occurrence, part: &u64| {
+        let mut suspects = occurrence.parts.iter();
+        suspects.any(|suspect| suspect.part == *part)
+    };
+    let occurrences = evidence.iter().map(|evidence| &evidence.occurrence);
+    let matching = occurrences.filter(|it| parts.iter().all(|part| contains(it, part)));
+    let crashes: HashSet<u64> = matching.map(|it| it.crash).collect();
+    crashes.len()
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod adapter;
 pub mod allowance;
+mod attribution;
 pub mod balance;
 pub mod bucket;
 pub mod choice;
--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -6,20 +6,16 @@
 //! a request that outlived its start is sound.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use super::attribution::{self, Evidence, Finding, MIN_CRASHES, count_crashes};
+
 /// Time for which an occurrence counts, and for which a part that was sound is vouched for.
 const EVIDENCE_TTL: Duration = Duration::from_secs(60);
 
-/// Number of crashes from which a group of parts is held.
-const MIN_CRASHES: usize = 3;
-
-/// Number of crashes from which a group is held whose parts are all vouched for.
-const MIN_VOUCHED_CRASHES: usize = 8;
-
 /// Number of crashes from which a group is held for [`LONG_HOLD`].
 const LONG_HOLD_CRASHES: usize = 5;
 
@@ -114,13 +110,6 @@
     holds: Vec<Held>,
 }
 
-#[derive(Debug, Clone)]
-struct Evidence {
-    occurrence: Occurrence,
-    seen_at: Duration,
-    expires_at: Duration,
-}
-
 /// A hold; it is kept for a while after its end, so that a late message does not bring it back.
 #[derive(Debug, Clone)]
 struct Held {
@@ -160,23 +149,6 @@
     }
 }
 
-/// Parts with the same occurrences.
-#[derive(Debug)]
-struct Group {
-    parts: Vec<u64>,
-    is_vouched: bool,
-    /// Positions of its occurrences, oldest first.
-    occurrences: Vec<usize>,
-    crashes: BTreeSet<u64>,
-}
-
-/// A group with the number of crashes for which there is no better explanation.
-#[derive(Debug)]
-struct Finding {
-    group: Group,
-    crashes: usize,
-}
-
 impl Quarantine {
     /// Records an occurrence. Returns whether it is new; reports of several daemons about one request and crash are
     /// merged.
@@ -442,7 +414,7 @@
 
     /// Derives the holds from the evidence.
     fn revise(&mut self, now: Duration) {
-        let findings = self.attribute();
+        let findings = attribution::attribute(&self.evidence, &self.counts);
         for finding in &findings {
             self.hold(finding);
         }
@@ -492,80 +464,6 @@
             announced: [(*crashes, last_crash)].into(),
         });
     }
-
-    /// Explains crashes by groups of parts: first by groups that are not vouched for, among them by the one with the
-    /// most crashes, and among these by the one with the fewest occurrences. Crashes that a group explains don't count
-    /// for those after it.
-    fn attribute(&self) -> Vec<Finding> {
-        let mut groups = self.groups();
-        let mut explained: HashSet<u64> = HashSet::new();
-        let mut findings = Vec::new();
-        loop {
-            let rank = |group: &Group| {
-                let crashes = group.crashes.iter().filter(|it| !explained.contains(it));
-                let crashes = crashes.count();
-                let min_crashes = match group.is_vouched {
-                    true => MIN_VOUCHED_CRASHES,
-                    false => MIN_CRASHES,
-                };
-                let rank = (group.is_vouched, Reverse(crashes), group.occurrences.len());
-                (crashes >= min_crashes).then_some(rank)
-            };
-            let Some(best) = groups.iter().filter_map(rank).min() else {
-                return findings;
-            };
-            let (_, Reverse(crashes), _) = best;
-            let (found, others): (Vec<Group>, Vec<Group>) =
-                groups.into_iter().partition(|it| rank(it) == Some(best));
-            groups = others;
-            for group in found {
-                explained.extend(&group.crashes);
-                findings.push(Finding { group, crashes });
-            }
-        }
-    }
-
-    /// Groups of parts that have enough crashes to be held.
-    fn groups(&self) -> Vec<Group> {
-        let mut by_part: BTreeMap<u64, (Vec<usize>, bool)> = BTreeMap::new();
-        for (at, evidence) in self.evidence.iter().enumerate() {
-            let suspects = evidence.occurrence.parts.iter();
-            let count = |part| self.counts.get(part).copied().unwrap_or_default();
-            for suspect in suspects.filter(|it| count(&it.part) >= MIN_CRASHES) {
-                let (occurrences, is_vouched) = by_part.entry(suspect.part).or_default();
-                occurrences.push(at);
-                *is_vouched |= suspect.vouched;
-            }
-        }
-        let mut groups: BTreeMap<Vec<usize>, Group> = BTreeMap::new();
-        for (part, (occurrences, is_vouched)) in by_part {
-            let crash = |at: &usize| self.evidence.get(*at).map(|it| it.occurrence.crash);
-            let crashes: BTreeSet<u64> = occurrences.iter().filter_map(crash).collect();
-            let group = groups.entry(occurrences.clone()).or_insert(Group {
-                parts: Vec::new(),
-                is_vouched: true,
-                occurrences,
-                crashes,
-            });
-            group.parts.push(part);
-            group.is_vouched &= is_vouched;
-        }
-        groups.into_values().collect()
-    }
-}
-
-impl Evidence {
-    /// Takes over what another report of the occurrence vouches for; returns whether that is new.
-    fn vouch(&mut self, parts: &[Suspect]) -> bool {
-        let mut changed = false;
-        for suspect in &mut self.occurrence.parts {
-            let mut others = parts.iter().filter(|other| other.part == suspect.part);
-            let vouched = others.any(|other| other.vouched);
-            changed |= vouched && !suspect.vouched;
-            suspect.vouched |= vouched;
-        }
-        changed
-    }
 }
 
 /// Takes the parts of a dropped occurrence off their counts.
@@ -580,18 +478,6 @@
     }
 }
 
-/// Number of crashes with an occurrence that contains all these parts.
-fn count_crashes(evidence: &VecDeque<Evidence>, parts: &[u64]) -> usize {
-    let contains = |occurrence: &Occurrence, part: &u64| {
-        let mut suspects = occurrence.parts.iter();
-        suspects.any(|suspect| suspect.part == *part)
-    };
-    let occurrences = evidence.iter().map(|evidence| &evidence.occurrence);
-    let matching = occurrences.filter(|it| parts.iter().all(|part| contains(it, part)));
-    let crashes: HashSet<u64> = matching.map(|it| it.crash).collect();
-    crashes.len()
-}
-
 /// Time for which a group with this number of crashes is held after the last one.
 fn hold_time(crashes: usize) -> Duration {
     match crashes >= LONG_HOLD_CRASHES {
