Hold parts that are vouched for no longer than 30 s

A group whose parts are all vouched for ran well within the minute before its crashes, so these are likely one event that ended many endpoints. It now gets the short hold, also where the report that vouches for it comes late, unless a probe has crashed an endpoint.

--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -20,7 +20,7 @@
 /// Time for which an occurrence counts, and for which a part that was sound is vouched for.
 const EVIDENCE_TTL: Duration = Duration::from_secs(60);
 
-/// Number of crashes from which a group is held for [`LONG_HOLD`].
+/// Number of crashes from which a group is held for [`LONG_HOLD`], unless its parts are all vouched for.
 const LONG_HOLD_CRASHES: usize = 5;
 
 /// Time for which a group is held after its last crash.
@@ -604,7 +604,7 @@
             crashes: *crashes,
             last_crash: last.occurrence.crash,
             last_crash_at: last.seen_at,
-            until: last.seen_at + hold_time(*crashes),
+            until: last.seen_at,
             is_adopted: false,
             probed_at: None,
             is_confirmed: false,
@@ -616,9 +616,11 @@
                 hold.take_probes(wider);
             }
         }
-        if hold.is_confirmed {
-            hold.until = last.seen_at + LONG_HOLD;
-        }
+        hold.until = match (hold.is_confirmed, group.is_vouched) {
+            (true, _) => last.seen_at + LONG_HOLD,
+            (false, true) => last.seen_at + SHORT_HOLD,
+            (false, false) => last.seen_at + hold_time(*crashes),
+        };
         // The next crash after the hold counts together with those before it.
         for at in &group.occurrences {
             if let Some(evidence) = self.evidence.get_mut(*at) {
@@ -630,6 +632,10 @@
         if let Some(known) = known {
             known.announce(announcement);
             known.take_probes(&hold);
+            // The report that vouches for the last of the parts may come late.
+            if group.is_vouched && !known.is_confirmed && !known.is_adopted {
+                known.until = known.until.min(hold.until);
+            }
             known.extend(&hold);
             known.is_adopted = false;
             return;
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -152,6 +152,50 @@
     assert!(is_held(&quarantine, &[SHARED], seconds(9)));
 }
 
+/// Records a crash with the shared part, which the reporting daemon vouches for.
+fn crash_vouched(quarantine: &mut Quarantine, number: u64, now: Duration) {
+    let mut occurrence = occurrence(number, number, &[SHARED, 1000 + number]);
+    occurrence.parts[0].vouched = true;
+    quarantine.record(occurrence, now);
+}
+
+/// Guards against refusing sound requests for ten minutes after many endpoints have ended at once.
+#[test]
+fn part_that_is_vouched_for_is_held_for_thirty_seconds_unless_a_probe_fails() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=12 {
+        crash_vouched(&mut quarantine, number, seconds(1));
+    }
+    assert_eq!(quarantine.held(&[SHARED], seconds(1)), Some(seconds(30)));
+    assert!(!is_held(&quarantine, &[SHARED], seconds(31)));
+
+    // What was sound just before the crashes does not keep a peer from adopting the hold.
+    let mut peer = Quarantine::default();
+    peer.survived(&[SHARED], seconds(98));
+    for hold in quarantine.holds(seconds(1)) {
+        peer.adopt(hold, seconds(101));
+    }
+    assert_eq!(peer.held(&[SHARED], seconds(101)), Some(seconds(30)));
+
+    assert!(quarantine.probe(&[SHARED], seconds(4)));
+    crash_vouched(&mut quarantine, 13, seconds(5));
+    assert_eq!(quarantine.held(&[SHARED], seconds(5)), Some(seconds(600)));
+}
+
+/// Guards against a long hold that remains where a part is vouched for only after its eighth crash.
+#[test]
+fn late_report_that_vouches_for_a_part_shortens_its_hold() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=8 {
+        crash(&mut quarantine, number, &[SHARED], seconds(1));
+    }
+    assert_eq!(quarantine.held(&[SHARED], seconds(1)), Some(seconds(600)));
+    let mut late = occurrence(8, 8, &[SHARED, 1008]);
+    late.parts[0].vouched = true;
+    quarantine.record(late, seconds(2));
+    assert_eq!(quarantine.held(&[SHARED], seconds(2)), Some(seconds(29)));
+}
+
 /// Guards against a report that vouches for a part being lost because another one came first.
 #[test]
 fn later_report_that_vouches_for_a_part_releases_it() {
