Count crashes of the last ten minutes together

An occurrence counted for 60 s, as long as a sound part is vouched for. A part whose requests crash an endpoint every 31 s had never three crashes within that time and was never held. Evidence now lasts 10 min; a part with any survivor in between is cleared anyway. Vouching stays at 60 s.

--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -17,8 +17,11 @@
 
 use super::attribution::{self, Evidence, Finding, MIN_CRASHES, contains, count_crashes};
 
-/// Time for which an occurrence counts, and for which a part that was sound is vouched for.
-const EVIDENCE_TTL: Duration = Duration::from_secs(60);
+/// Time for which an occurrence counts, and for which a hold is remembered after its end: 10 min.
+const EVIDENCE_TTL: Duration = Duration::from_secs(600);
+
+/// Time for which a part that was sound is vouched for: 60 s.
+const VOUCHING_TTL: Duration = Duration::from_secs(60);
 
 /// Number of crashes from which a group is held for [`LONG_HOLD`], unless its parts are all vouched for.
 const LONG_HOLD_CRASHES: usize = 5;
@@ -358,7 +361,7 @@
     /// ```
     pub fn is_vouched(&self, part: u64, now: Duration) -> bool {
         let sound_at = self.sound.get(&part);
-        sound_at.is_some_and(|at| now < *at + EVIDENCE_TTL)
+        sound_at.is_some_and(|at| now < *at + VOUCHING_TTL)
     }
 
     /// Time for which a request with these parts is refused, if it is.
