Return the sound parts of a hold that a peer announces

A lost message that parts are sound was never repaired: the daemon that sent it dropped the peer's hold on arrival without a word, and its further survivors reported nothing, since it held nothing itself. `adopt` now returns the parts that it has found sound after the hold's last crash, so that the caller can tell the peer. Parts that may have been sound only before the crash, as the message may have been under way for a second, are left out of the hold as before but not returned.

--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -453,7 +453,7 @@
     }
 
     /// Adopts a peer's hold; of two holds of the same parts, the longer time counts. Parts that were found sound after
-    /// the hold's last crash are left out.
+    /// the hold's last crash are left out. Returns those that surely were, in ascending order: the peer has missed it.
     ///
     /// ```
     /// use std::time::Duration;
@@ -465,8 +465,12 @@
     /// quarantine.adopt(hold, Duration::from_secs(5));
     /// let left = quarantine.held(&[1], Duration::from_secs(5));
     /// assert_eq!(left, Some(Duration::from_secs(15)));
+    /// // A request with part 3 survives two seconds before the hold arrives, and one after its last crash.
+    /// quarantine.survived(&[3], Duration::from_secs(6));
+    /// let hold = Hold { parts: vec![2, 3], left_millis: 20_000, age_millis: 3_000, ..Hold::default() };
+    /// assert_eq!(quarantine.adopt(hold, Duration::from_secs(8)), [3]);
     /// ```
-    pub fn adopt(&mut self, hold: Hold, now: Duration) {
+    pub fn adopt(&mut self, hold: Hold, now: Duration) -> Vec<u64> {
         self.expire(now);
         let full_time = match hold.is_confirmed {
             true => LONG_HOLD,
@@ -478,9 +482,17 @@
         let mut parts = hold.parts;
         parts.sort_unstable();
         parts.dedup();
-        parts.retain(|part| self.sound.get(part).is_none_or(|at| *at < crashed_at));
-        if left.is_zero() || parts.is_empty() || parts.len() > MAX_PARTS {
-            return;
+        if left.is_zero() || parts.len() > MAX_PARTS {
+            return Vec::new();
+        }
+        let sound_since = |part: &u64, since| self.sound.get(part).is_some_and(|at| *at >= since);
+        let sound = parts.iter().copied();
+        let sound = sound.filter(|part| sound_since(part, last_crash_at));
+        let sound: Vec<u64> = sound.collect();
+        // The message may have been under way for a while, so the crash may be that much earlier.
+        parts.retain(|part| !sound_since(part, crashed_at));
+        if parts.is_empty() {
+            return sound;
         }
         let known = self.holds.iter_mut().find(|it| it.parts == parts);
         if let Some(known) = known {
@@ -502,6 +514,7 @@
             is_confirmed: hold.is_confirmed,
             announced: [announcement].into(),
         });
+        sound
     }
 
     /// Adds a hold, or joins it with the one of the same parts.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -357,6 +357,52 @@
     assert!(!is_held(&peer, &[SHARED], seconds(2)));
 }
 
+/// Guards against a hold that lasts because the message that its parts are sound was lost.
+#[test]
+fn daemon_that_adopts_a_hold_tells_which_of_its_parts_are_sound() {
+    let mut held = Quarantine::default();
+    for number in 1..=5 {
+        crash(&mut held, number, &[SHARED, CRASHING], seconds(10));
+    }
+    let mut peer = Quarantine::default();
+    for (second, sound) in [(9, vec![]), (11, vec![SHARED])] {
+        peer.survived(&[SHARED, SOUND], seconds(second));
+        for hold in held.holds(seconds(40)) {
+            assert_eq!(peer.adopt(hold, seconds(40)), sound);
+        }
+    }
+    assert!(is_held(&peer, &[CRASHING], seconds(40)));
+    assert!(!is_held(&peer, &[SHARED], seconds(40)));
+
+    // All parts are sound: nothing is adopted, and each announcement is answered.
+    let mut peer = Quarantine::default();
+    peer.survived(&[SHARED, CRASHING], seconds(12));
+    for second in 40..43 {
+        for hold in held.holds(seconds(second)) {
+            assert_eq!(peer.adopt(hold, seconds(second)), [SHARED, CRASHING]);
+        }
+    }
+    assert!(peer.holds(seconds(43)).is_empty());
+    held.clear(&[SHARED, CRASHING], seconds(43));
+    assert!(held.holds(seconds(43)).is_empty());
+}
+
+/// Guards against clearing a crashing part at peers that was sound just before the crash.
+#[test]
+fn part_that_may_have_been_sound_before_the_crash_is_not_returned() {
+    let mut quarantine = Quarantine::default();
+    quarantine.survived(&[CRASHING], seconds(9));
+    let hold = Hold {
+        parts: vec![CRASHING],
+        left_millis: 29_000,
+        crashes: 8,
+        last_crash: 8,
+        age_millis: 1000,
+        is_confirmed: false,
+    };
+    assert!(quarantine.adopt(hold, seconds(11)).is_empty());
+}
+
 /// Guards against holds that two daemons prolong by returning them to each other over a slow link.
 #[test]
 fn returned_holds_do_not_last_longer() {
