Announce at most 16 holds of at most 16 parts

64 holds of 64 parts exceed the size of a message between daemons; the daemon then sends no heartbeat at all. The holds that end last are announced, in this order; larger groups are held by the daemon itself and not announced.

--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -53,6 +53,12 @@
 /// Maximum number of holds; beyond it, those that end first are dropped.
 const MAX_HOLDS: usize = 64;
 
+/// Maximum number of holds that are announced to peers.
+const MAX_ANNOUNCED_HOLDS: usize = 16;
+
+/// Maximum number of parts of a hold that is announced to peers.
+const MAX_ANNOUNCED_PARTS: usize = 16;
+
 /// Maximum number of announcements that are remembered per hold.
 const MAX_ANNOUNCEMENTS: usize = 64;
 
@@ -428,7 +434,8 @@
         is_held
     }
 
-    /// Holds in force, for peers that do not have the evidence.
+    /// Holds in force, for peers that do not have the evidence: the 16 that end last, in this order. Groups of more than
+    /// 16 parts are held by this daemon but not announced.
     ///
     /// ```
     /// use std::time::Duration;
@@ -441,7 +448,11 @@
     /// ```
     pub fn holds(&self, now: Duration) -> Vec<Hold> {
         let active = self.holds.iter().filter(|hold| now < hold.until);
-        let holds = active.map(|hold| Hold {
+        let short = active.filter(|hold| hold.parts.len() <= MAX_ANNOUNCED_PARTS);
+        let mut holds: Vec<&Held> = short.collect();
+        holds.sort_by_key(|hold| (Reverse(hold.until), &hold.parts));
+        holds.truncate(MAX_ANNOUNCED_HOLDS);
+        let holds = holds.into_iter().map(|hold| Hold {
             parts: hold.parts.clone(),
             left_millis: (hold.until - now).as_millis() as u64,
             crashes: hold.crashes,
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -764,7 +764,39 @@
         };
         quarantine.adopt(hold, now);
     }
-    assert!(quarantine.holds(now).len() <= 64);
+    assert_eq!(quarantine.holds(now).len(), 16);
+    let held = (0..1000).filter(|part| is_held(&quarantine, &[100_000 + part], now));
+    assert!(held.count() <= 64);
+}
+
+/// Guards against holds that don't fit into a message, so that none arrives.
+#[test]
+fn announced_holds_end_last_and_fit_into_a_message() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..40 {
+        let hold = Hold {
+            parts: (0..16).map(|part| u64::MAX - 100 * number - part).collect(),
+            left_millis: 599_000 - number,
+            crashes: 1000,
+            last_crash: u64::MAX - number,
+            age_millis: 599_000,
+            is_confirmed: true,
+        };
+        quarantine.adopt(hold, seconds(1000));
+    }
+    // A larger group is held here only.
+    let large: Vec<u64> = (0..17).collect();
+    for number in 0..5 {
+        quarantine.record(occurrence(number, number, &large), seconds(1000));
+    }
+    assert!(is_held(&quarantine, &large, seconds(1000)));
+    let holds = quarantine.holds(seconds(1000));
+    let left: Vec<u64> = holds.iter().map(|hold| hold.left_millis).collect();
+    let latest: Vec<u64> = (0..16).map(|number| 599_000 - number).collect();
+    assert_eq!(left, latest);
+    assert!(holds.iter().all(|hold| hold.parts.len() == 16));
+    let text = serde_json::to_string(&holds).unwrap();
+    assert!(text.len() < 16_000, "{}", text.len());
 }
 
 #[test]
