--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -15,6 +15,7 @@
 pub mod gate;
 pub mod grant;
 pub mod health;
+mod held;
 pub mod holder;
 pub mod index;
 pub mod job;
--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::attribution::{self, Evidence, Finding, MIN_CRASHES, contains, count_crashes};
+use super::held::{Announcement, Held, LONG_HOLD, is_within};
 
 /// Time for which an occurrence counts, and for which a hold is remembered after its end: 10 min.
 const EVIDENCE_TTL: Duration = Duration::from_secs(600);
@@ -29,15 +30,6 @@
 /// Time for which a group is held after its last crash.
 const SHORT_HOLD: Duration = Duration::from_secs(30);
 
-/// Time for which a group with many crashes is held after the last one.
-const LONG_HOLD: Duration = Duration::from_secs(600);
-
-/// Time after the last crash of a hold from which a probe is let through: 3 s.
-const PROBE_DELAY: Duration = Duration::from_secs(3);
-
-/// Time after which a probe of which nothing was heard is taken not to have reached an endpoint: 2 s.
-const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Maximum delay of a message between daemons.
 const MESSAGE_DELAY: Duration = Duration::from_secs(1);
 
@@ -59,9 +51,6 @@
 /// Maximum number of parts of a hold that is announced to peers.
 const MAX_ANNOUNCED_PARTS: usize = 16;
 
-/// Maximum number of announcements that are remembered per hold.
-const MAX_ANNOUNCEMENTS: usize = 64;
-
 /// A part of a request that was at an endpoint when it ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
 pub struct Suspect {
@@ -135,98 +124,6 @@
     holds: Vec<Held>,
 }
 
-/// A hold; it is kept for a while after its end, so that a late message does not bring it back.
-#[derive(Debug, Clone)]
-struct Held {
-    parts: Vec<u64>,
-    crashes: usize,
-    last_crash: u64,
-    last_crash_at: Duration,
-    until: Duration,
-    /// Whether its end was set by a peer.
-    is_adopted: bool,
-    /// Time at which the last probe was let through.
-    probed_at: Option<Duration>,
-    /// Whether a probe has crashed an endpoint.
-    is_confirmed: bool,
-    /// Announcements that have set its end. Each sets it once: daemons that return a hold to each other would prolong it
-    /// by the delay of every message.
-    announced: VecDeque<Announcement>,
-}
-
-/// What tells one state of a hold from the next.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Announcement {
-    crashes: usize,
-    last_crash: u64,
-    is_confirmed: bool,
-}
-
-impl Held {
-    fn announcement(&self) -> Announcement {
-        Announcement {
-            crashes: self.crashes,
-            last_crash: self.last_crash,
-            is_confirmed: self.is_confirmed,
-        }
-    }
-
-    /// Remembers an announcement; returns whether it is new.
-    fn announce(&mut self, announcement: Announcement) -> bool {
-        let is_new = !self.announced.contains(&announcement);
-        if is_new {
-            self.announced.push_back(announcement);
-            if self.announced.len() > MAX_ANNOUNCEMENTS {
-                self.announced.pop_front();
-            }
-        }
-        is_new
-    }
-
-    /// Moves the end to that of another hold, but never to an earlier time; returns whether this is now the end.
-    fn extend(&mut self, other: &Held) -> bool {
-        self.crashes = self.crashes.max(other.crashes);
-        self.last_crash_at = self.last_crash_at.max(other.last_crash_at);
-        let is_end = other.until >= self.until;
-        if is_end {
-            self.last_crash = other.last_crash;
-            self.until = other.until;
-        }
-        is_end
-    }
-
-    /// Takes over what is known of the probes of another hold.
-    fn take_probes(&mut self, other: &Held) {
-        self.probed_at = self.probed_at.max(other.probed_at);
-        self.is_confirmed |= other.is_confirmed;
-    }
-
-    /// Takes note of a crash with the parts of this hold; it confirms the hold if a probe was let through before.
-    fn crash(&mut self, crash: u64, at: Duration) {
-        let is_known = self.announced.iter().any(|it| it.last_crash == crash);
-        if is_known || self.probed_at.is_none_or(|probed_at| at < probed_at) {
-            return;
-        }
-        self.is_confirmed = true;
-        self.extend(&Held {
-            last_crash: crash,
-            last_crash_at: at,
-            until: at + LONG_HOLD,
-            ..self.clone()
-        });
-        self.announce(self.announcement());
-    }
-
-    fn matches(&self, parts: &[u64]) -> bool {
-        is_within(&self.parts, parts)
-    }
-
-    fn may_be_probed(&self, now: Duration) -> bool {
-        let has_no_open_probe = self.probed_at.is_none_or(|at| now >= at + PROBE_TIMEOUT);
-        !self.is_confirmed && has_no_open_probe && now >= self.last_crash_at + PROBE_DELAY
-    }
-}
-
 impl Quarantine {
     /// Records an occurrence. Returns whether it is new; reports of several daemons about one request and crash are
     /// merged.
@@ -672,11 +569,6 @@
     }
 }
 
-/// Whether all these parts are among the others.
-fn is_within(parts: &[u64], others: &[u64]) -> bool {
-    parts.iter().all(|part| others.contains(part))
-}
-
 /// Takes the parts of a dropped occurrence off their counts.
 fn discount(counts: &mut HashMap<u64, usize>, parts: &[Suspect]) {
     for suspect in parts {
