Probe held parts from one daemon, tell peers which parts are sound

3 s after the last crash one request with the held parts is sent, by one daemon chosen from the hold and the names of the fleet, and only once. It is not resumed. A daemon that gets a hold of parts that it knows to be sound answers with them, so that a lost message does not leave a peer with it.

--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -74,7 +74,7 @@
                 update_remote_in_flight(node, &before.flights, &state.flights);
             }
             catch_up(node, &state, &registration, now);
-            quarantine::adopt(node, state.holds);
+            quarantine::adopt(node, state.holds, registration.gossip);
         }
         Body::Ask(ask) => answer_ask(node, &ask, from),
         Body::Grant(grant) => node.limits.granted(node, grant),
--- a/src/serving/quarantine.rs
+++ b/src/serving/quarantine.rs
@@ -1,5 +1,6 @@
 //! Refuses requests whose prompts contain a part that crashes endpoints, and shares the evidence with the other daemons.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -7,6 +8,7 @@
 use super::endpoint::Endpoint;
 use super::{Node, journal, peers};
 use crate::coordination::quarantine::{Hold, Occurrence, Quarantine, Suspect};
+use crate::coordination::rendezvous;
 use crate::protocol::digest::Body;
 use crate::state::call::Call;
 
@@ -30,6 +32,25 @@
     Some(left.min(MAX_RETRY_AFTER))
 }
 
+/// Whether a call may be sent although it is held, to find out whether its parts are sound. One daemon of the fleet does
+/// this for a hold.
+pub fn probe(node: &Node, call: &Call) -> bool {
+    let (parts, now) = (call.shared_parts(), node.now());
+    let mut quarantine = node.quarantine.lock();
+    let Some(hold) = quarantine.matching(&parts, now) else {
+        return false;
+    };
+    let names = node.peers.names();
+    let key = format!("quarantine/{hold:x}");
+    let prober = rendezvous::choose(&key, names.iter(), |name| (*name).clone());
+    let is_probe = prober == Some(&node.settings.name) && quarantine.probe(&parts, now);
+    drop(quarantine);
+    if is_probe {
+        spdlog::info!("quarantine: probe", kv: { request: = call.id, hold: = journal::hex(&[hold]) });
+    }
+    is_probe
+}
+
 /// Records that an endpoint ended when it had just begun to respond to a call, with or without an event.
 pub fn crashed(node: &Node, call: &Call, endpoint: &Endpoint, has_event: bool) {
     let parts = call.shared_parts();
@@ -97,17 +118,21 @@
     update(node, |quarantine| quarantine.clear(parts, now));
 }
 
-/// Adopts the holds of a peer.
-pub fn adopt(node: &Node, holds: Vec<Hold>) {
+/// Adopts the holds of a peer, and tells it which of their parts are sound.
+pub fn adopt(node: &Node, holds: Vec<Hold>, peer: SocketAddr) {
     if holds.is_empty() {
         return;
     }
     let now = node.now();
+    let mut sound = Vec::new();
     update(node, |quarantine| {
         for hold in holds {
-            quarantine.adopt(hold, now);
+            sound.extend(quarantine.adopt(hold, now));
         }
     });
+    if !sound.is_empty() {
+        peers::send(node, Body::Sound(sound), peer);
+    }
 }
 
 /// Holds in force, for peers.
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -48,9 +48,11 @@
         answered_by: None,
         token: node.requests.token(),
         phase: Phase::Choosing,
+        is_probe: false,
     };
-    if quarantine::held(node, &ctx.call).is_none() {
-        node.demand.record(&ctx.call);
+    match quarantine::held(node, &ctx.call) {
+        None => node.demand.record(&ctx.call),
+        Some(_) => ctx.is_probe = quarantine::probe(node, &ctx.call),
     }
     let wait_started = node.now();
     let mut failure: Option<Response<Body>> = None;
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -148,6 +148,8 @@
     pub token: TaskTrackerToken,
     /// What the request is waiting for.
     pub phase: Phase,
+    /// Whether the request may be sent once although parts of its prompt are held.
+    pub is_probe: bool,
 }
 
 /// Progress of a request, to log what it was waiting for when its caller left.
@@ -219,7 +221,8 @@
     /// # Errors
     /// The reason why the request can't be sent now.
     pub fn choose(&self) -> Result<Choice, Unavailable> {
-        if quarantine::held(&self.node, &self.call).is_some() {
+        let is_probe = self.is_probe && self.delivered == 0;
+        if !is_probe && quarantine::held(&self.node, &self.call).is_some() {
             return Err(Unavailable::Quarantine);
         }
         let choice = choose::choose(&self.node, &self.admission, &self.call, &self.tried)?;
