Probe with requests that match one hold only

A probe with the parts of two holds confirmed both when it crashed, a sound part among them. request_with_parts_of_two_holds_is_no_probe guards it.

--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -317,18 +317,17 @@
     /// assert!(!quarantine.probe(&[1, 2], Duration::from_secs(4)));
     /// ```
     pub fn probe(&mut self, parts: &[u64], now: Duration) -> bool {
-        let mut is_held = false;
-        for hold in self.holds_of(parts, now) {
-            if !hold.may_be_probed(now) {
-                return false;
-            }
-            is_held = true;
-        }
         let holds = self.holds.iter_mut();
-        for hold in holds.filter(|hold| now < hold.until && hold.matches(parts)) {
+        let mut matching = holds.filter(|hold| now < hold.until && hold.matches(parts));
+        // A crash would not show which of several holds it is due to.
+        let (Some(hold), None) = (matching.next(), matching.next()) else {
+            return false;
+        };
+        let is_allowed = hold.may_be_probed(now);
+        if is_allowed {
             hold.probed_at = Some(now);
         }
-        is_held
+        is_allowed
     }
 
     /// Holds in force, for peers that do not have the evidence: the 16 that end last, in this order. Groups of more than
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -482,6 +482,23 @@
     }
 }
 
+/// Guards against taking the crash of a part for a proof against another one that is held by itself.
+#[test]
+fn request_with_parts_of_two_holds_is_no_probe() {
+    let mut quarantine = Quarantine::default();
+    for parts in [vec![SHARED], vec![CRASHING]] {
+        let hold = Hold {
+            parts,
+            left_millis: 30_000,
+            ..Hold::default()
+        };
+        quarantine.adopt(hold, seconds(0));
+    }
+    assert!(!quarantine.probe(&[SHARED, CRASHING], seconds(5)));
+    assert!(quarantine.probe(&[SHARED, SOUND], seconds(5)));
+    assert!(quarantine.probe(&[CRASHING, SOUND], seconds(5)));
+}
+
 /// Guards against more crashes by probes, for as long as the hold lasts.
 #[test]
 fn crash_after_a_probe_confirms_the_hold_for_ten_minutes() {
