--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod adapter;
 pub mod allowance;
+mod attribution;
 pub mod balance;
 pub mod bucket;
 pub mod choice;
@@ -14,6 +15,7 @@
 pub mod gate;
 pub mod grant;
 pub mod health;
+mod held;
 pub mod holder;
 pub mod index;
 pub mod job;
--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -4,31 +4,32 @@
 //! for several crashes is held: requests that contain it are refused. Parts that no report tells apart are held
 //! together, so that a request that shares only some of them still runs and shows which of them is the cause. A part of
 //! a request that outlived its start is sound.
+//!
+//! A hold keeps away the requests that could show that its parts are sound. Some time after its last crash, a single
+//! request with them is let through as a probe: if it outlives its start, the parts are released, and if it crashes its
+//! endpoint, the hold is confirmed and gets no further probe.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-/// Time for which an occurrence counts, and for which a part that was sound is vouched for.
-const EVIDENCE_TTL: Duration = Duration::from_secs(60);
+use super::attribution::{self, Evidence, Finding, MIN_CRASHES, contains, count_crashes};
+use super::held::{Announcement, Held, LONG_HOLD, is_within};
 
-/// Number of crashes from which a group of parts is held.
-const MIN_CRASHES: usize = 3;
+/// Time for which an occurrence counts, and for which a hold is remembered after its end: 10 min.
+const EVIDENCE_TTL: Duration = Duration::from_secs(600);
 
-/// Number of crashes from which a group is held whose parts are all vouched for.
-const MIN_VOUCHED_CRASHES: usize = 8;
+/// Time for which a part that was sound is vouched for: 60 s.
+const VOUCHING_TTL: Duration = Duration::from_secs(60);
 
-/// Number of crashes from which a group is held for [`LONG_HOLD`].
+/// Number of crashes from which a group is held for [`LONG_HOLD`], unless its parts are all vouched for.
 const LONG_HOLD_CRASHES: usize = 5;
 
 /// Time for which a group is held after its last crash.
 const SHORT_HOLD: Duration = Duration::from_secs(30);
 
-/// Time for which a group with many crashes is held after the last one.
-const LONG_HOLD: Duration = Duration::from_secs(600);
-
 /// Maximum delay of a message between daemons.
 const MESSAGE_DELAY: Duration = Duration::from_secs(1);
 
@@ -44,8 +45,11 @@
 /// Maximum number of holds; beyond it, those that end first are dropped.
 const MAX_HOLDS: usize = 64;
 
-/// Maximum number of announcements that are remembered per hold.
-const MAX_ANNOUNCEMENTS: usize = 64;
+/// Maximum number of holds that are announced to peers.
+const MAX_ANNOUNCED_HOLDS: usize = 16;
+
+/// Maximum number of parts of a hold that is announced to peers.
+const MAX_ANNOUNCED_PARTS: usize = 16;
 
 /// A part of a request that was at an endpoint when it ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
@@ -73,7 +77,7 @@
 }
 
 /// Parts that are held together, as daemons announce them to each other.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize, Serialize)]
 pub struct Hold {
     /// Digests of the parts, in ascending order.
     #[serde(rename = "p")]
@@ -87,6 +91,12 @@
     /// Digest of the last crash.
     #[serde(rename = "c")]
     pub last_crash: u64,
+    /// Time since the last crash, in milliseconds.
+    #[serde(rename = "a", default)]
+    pub age_millis: u64,
+    /// Whether a probe has crashed an endpoint.
+    #[serde(rename = "f", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_confirmed: bool,
 }
 
 /// Evidence against parts of prompts, and the holds that follow from it.
@@ -114,69 +124,6 @@
     holds: Vec<Held>,
 }
 
-#[derive(Debug, Clone)]
-struct Evidence {
-    occurrence: Occurrence,
-    seen_at: Duration,
-    expires_at: Duration,
-}
-
-/// A hold; it is kept for a while after its end, so that a late message does not bring it back.
-#[derive(Debug, Clone)]
-struct Held {
-    parts: Vec<u64>,
-    crashes: usize,
-    last_crash: u64,
-    until: Duration,
-    /// Whether its end was set by a peer.
-    is_adopted: bool,
-    /// Crash counts and last crashes that have set its end. Each sets it once: daemons that return a hold to each other
-    /// would prolong it by the delay of every message.
-    announced: VecDeque<(usize, u64)>,
-}
-
-impl Held {
-    /// Remembers an announcement; returns whether it is new.
-    fn announce(&mut self, crashes: usize, last_crash: u64) -> bool {
-        let is_new = !self.announced.contains(&(crashes, last_crash));
-        if is_new {
-            self.announced.push_back((crashes, last_crash));
-            if self.announced.len() > MAX_ANNOUNCEMENTS {
-                self.announced.pop_front();
-            }
-        }
-        is_new
-    }
-
-    /// Moves the end, but never to an earlier time; returns whether this is now the end.
-    fn extend(&mut self, crashes: usize, last_crash: u64, until: Duration) -> bool {
-        self.crashes = self.crashes.max(crashes);
-        let is_end = until >= self.until;
-        if is_end {
-            self.last_crash = last_crash;
-            self.until = until;
-        }
-        is_end
-    }
-}
-
-/// Parts with the same occurrences.
-#[derive(Debug)]
-struct Group {
-    parts: Vec<u64>,
-    is_vouched: bool,
-    /// Positions of its occurrences, oldest first.
-    occurrences: Vec<usize>,
-    crashes: BTreeSet<u64>,
-}
-
-/// A group with the number of crashes for which there is no better explanation.
-#[derive(Debug)]
-struct Finding {
-    group: Group,
-    crashes: usize,
-}
-
 impl Quarantine {
     /// Records an occurrence. Returns whether it is new; reports of several daemons about one request and crash are
     /// merged.
@@ -209,6 +156,7 @@
             }
             return false;
         }
+        self.note_crash(&occurrence, now);
         let mut may_be_held = false;
         for suspect in &occurrence.parts {
             let count = self.counts.entry(suspect.part).or_default();
@@ -276,7 +224,7 @@
     /// use std::time::Duration;
     /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
     /// let mut quarantine = Quarantine::default();
-    /// let hold = Hold { parts: vec![1], left_millis: 20_000, crashes: 3, last_crash: 9 };
+    /// let hold = Hold { parts: vec![1], left_millis: 20_000, ..Hold::default() };
     /// quarantine.adopt(hold, Duration::ZERO);
     /// quarantine.clear(&[1], Duration::ZERO);
     /// assert!(quarantine.held(&[1], Duration::ZERO).is_none());
@@ -316,7 +264,7 @@
     /// ```
     pub fn is_vouched(&self, part: u64, now: Duration) -> bool {
         let sound_at = self.sound.get(&part);
-        sound_at.is_some_and(|at| now < *at + EVIDENCE_TTL)
+        sound_at.is_some_and(|at| now < *at + VOUCHING_TTL)
     }
 
     /// Time for which a request with these parts is refused, if it is.
@@ -325,24 +273,70 @@
     /// use std::time::Duration;
     /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
     /// let mut quarantine = Quarantine::default();
-    /// let hold = Hold { parts: vec![1, 2], left_millis: 20_000, crashes: 3, last_crash: 9 };
+    /// let hold = Hold { parts: vec![1, 2], left_millis: 20_000, ..Hold::default() };
     /// quarantine.adopt(hold, Duration::ZERO);
     /// let left = quarantine.held(&[1, 2, 3], Duration::from_secs(5));
     /// assert_eq!(left, Some(Duration::from_secs(15)));
     /// assert_eq!(quarantine.held(&[1, 3], Duration::from_secs(5)), None);
     /// ```
     pub fn held(&self, parts: &[u64], now: Duration) -> Option<Duration> {
-        let active = self.holds.iter().filter(|hold| now < hold.until);
-        let matching = active.filter(|hold| hold.parts.iter().all(|part| parts.contains(part)));
+        let matching = self.holds_of(parts, now);
         matching.map(|hold| hold.until - now).max()
     }
 
-    /// Holds in force, for peers that do not have the evidence.
+    /// Digest of the hold with the longest time left that refuses a request with these parts. Daemons agree by it which
+    /// of them probes the hold.
     ///
     /// ```
     /// use std::time::Duration;
     /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
-    /// let hold = Hold { parts: vec![1, 2], left_millis: 20_000, crashes: 3, last_crash: 9 };
+    /// let mut quarantine = Quarantine::default();
+    /// let hold = Hold { parts: vec![1, 2], left_millis: 20_000, ..Hold::default() };
+    /// quarantine.adopt(hold, Duration::ZERO);
+    /// assert_eq!(quarantine.matching(&[1, 2, 3], Duration::ZERO), Some(1));
+    /// assert_eq!(quarantine.matching(&[1, 3], Duration::ZERO), None);
+    /// ```
+    pub fn matching(&self, parts: &[u64], now: Duration) -> Option<u64> {
+        let matching = self.holds_of(parts, now);
+        let longest = matching.max_by_key(|hold| (hold.until, Reverse(&hold.parts)));
+        longest?.parts.first().copied()
+    }
+
+    /// Whether a request with these parts, which are held, may be sent as a probe. The caller sends it if so: until the
+    /// probe's outcome is known, further ones are only allowed after a timeout. A daemon that asks this must be the only
+    /// one that does so for the hold that [`Self::matching`] tells.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let mut quarantine = Quarantine::default();
+    /// let hold = Hold { parts: vec![1], left_millis: 30_000, ..Hold::default() };
+    /// quarantine.adopt(hold, Duration::ZERO);
+    /// assert!(!quarantine.probe(&[1, 2], Duration::from_secs(2)));
+    /// assert!(quarantine.probe(&[1, 2], Duration::from_secs(3)));
+    /// assert!(!quarantine.probe(&[1, 2], Duration::from_secs(4)));
+    /// ```
+    pub fn probe(&mut self, parts: &[u64], now: Duration) -> bool {
+        let holds = self.holds.iter_mut();
+        let mut matching = holds.filter(|hold| now < hold.until && hold.matches(parts));
+        // A crash would not show which of several holds it is due to.
+        let (Some(hold), None) = (matching.next(), matching.next()) else {
+            return false;
+        };
+        let is_allowed = hold.may_be_probed(now);
+        if is_allowed {
+            hold.probed_at = Some(now);
+        }
+        is_allowed
+    }
+
+    /// Holds in force, for peers that do not have the evidence: the 16 that end last, in this order. Groups of more than
+    /// 16 parts are held by this daemon but not announced.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let hold = Hold { parts: vec![1, 2], left_millis: 20_000, ..Hold::default() };
     /// let mut quarantine = Quarantine::default();
     /// quarantine.adopt(hold.clone(), Duration::ZERO);
     /// assert_eq!(quarantine.holds(Duration::ZERO), [hold]);
@@ -350,59 +344,94 @@
     /// ```
     pub fn holds(&self, now: Duration) -> Vec<Hold> {
         let active = self.holds.iter().filter(|hold| now < hold.until);
-        let holds = active.map(|hold| Hold {
+        let short = active.filter(|hold| hold.parts.len() <= MAX_ANNOUNCED_PARTS);
+        let mut holds: Vec<&Held> = short.collect();
+        holds.sort_by_key(|hold| (Reverse(hold.until), &hold.parts));
+        holds.truncate(MAX_ANNOUNCED_HOLDS);
+        let holds = holds.into_iter().map(|hold| Hold {
             parts: hold.parts.clone(),
             left_millis: (hold.until - now).as_millis() as u64,
             crashes: hold.crashes,
             last_crash: hold.last_crash,
+            age_millis: now.saturating_sub(hold.last_crash_at).as_millis() as u64,
+            is_confirmed: hold.is_confirmed,
         });
         holds.collect()
     }
 
     /// Adopts a peer's hold; of two holds of the same parts, the longer time counts. Parts that were found sound after
-    /// the hold's last crash are left out.
+    /// the hold's last crash are left out. Returns those that surely were, in ascending order: the peer has missed it.
     ///
     /// ```
     /// use std::time::Duration;
     /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
     /// let mut quarantine = Quarantine::default();
-    /// let hold = Hold { parts: vec![1], left_millis: 20_000, crashes: 3, last_crash: 9 };
+    /// let hold = Hold { parts: vec![1], left_millis: 20_000, ..Hold::default() };
     /// quarantine.adopt(hold.clone(), Duration::ZERO);
     /// // A message that was delayed does not prolong it.
     /// quarantine.adopt(hold, Duration::from_secs(5));
     /// let left = quarantine.held(&[1], Duration::from_secs(5));
     /// assert_eq!(left, Some(Duration::from_secs(15)));
+    /// // A request with part 3 survives two seconds before the hold arrives, and one after its last crash.
+    /// quarantine.survived(&[3], Duration::from_secs(6));
+    /// let hold = Hold { parts: vec![2, 3], left_millis: 20_000, age_millis: 3_000, ..Hold::default() };
+    /// assert_eq!(quarantine.adopt(hold, Duration::from_secs(8)), [3]);
     /// ```
-    pub fn adopt(&mut self, hold: Hold, now: Duration) {
+    pub fn adopt(&mut self, hold: Hold, now: Duration) -> Vec<u64> {
         self.expire(now);
-        let full_time = hold_time(hold.crashes);
+        let full_time = match hold.is_confirmed {
+            true => LONG_HOLD,
+            false => hold_time(hold.crashes),
+        };
         let left = Duration::from_millis(hold.left_millis).min(full_time);
-        let crashed_at = now.saturating_sub(full_time - left + MESSAGE_DELAY);
+        let last_crash_at = now.saturating_sub(Duration::from_millis(hold.age_millis));
+        let crashed_at = last_crash_at.saturating_sub(MESSAGE_DELAY);
         let mut parts = hold.parts;
         parts.sort_unstable();
         parts.dedup();
-        parts.retain(|part| self.sound.get(part).is_none_or(|at| *at < crashed_at));
-        if left.is_zero() || parts.is_empty() || parts.len() > MAX_PARTS {
-            return;
+        if left.is_zero() || parts.len() > MAX_PARTS {
+            return Vec::new();
         }
-        let announcement = (hold.crashes, hold.last_crash);
+        let sound_since = |part: &u64, since| self.sound.get(part).is_some_and(|at| *at >= since);
+        let sound = parts.iter().copied();
+        let sound = sound.filter(|part| sound_since(part, last_crash_at));
+        let sound: Vec<u64> = sound.collect();
+        // The message may have been under way for a while, so the crash may be that much earlier.
+        parts.retain(|part| !sound_since(part, crashed_at));
+        if parts.is_empty() {
+            return sound;
+        }
+        let known = self.holds.iter_mut().find(|it| it.parts == parts);
+        if let Some(known) = known {
+            known.crash(hold.last_crash, last_crash_at);
+        }
+        let announcement = Announcement {
+            crashes: hold.crashes,
+            last_crash: hold.last_crash,
+            is_confirmed: hold.is_confirmed,
+        };
         self.merge(Held {
             parts,
             crashes: hold.crashes,
             last_crash: hold.last_crash,
+            last_crash_at,
             until: now + left,
             is_adopted: true,
+            probed_at: None,
+            is_confirmed: hold.is_confirmed,
             announced: [announcement].into(),
         });
+        sound
     }
 
     /// Adds a hold, or joins it with the one of the same parts.
     fn merge(&mut self, hold: Held) {
         let known = self.holds.iter_mut().find(|it| it.parts == hold.parts);
         if let Some(known) = known {
+            known.take_probes(&hold);
             let announced = hold.announced.iter();
-            let news = announced.filter(|(crashes, last)| known.announce(*crashes, *last));
-            if news.count() > 0 && known.extend(hold.crashes, hold.last_crash, hold.until) {
+            let news = announced.filter(|it| known.announce(**it));
+            if news.count() > 0 && known.extend(&hold) {
                 known.is_adopted = hold.is_adopted;
             }
             return;
@@ -440,9 +469,27 @@
         parts.iter().any(|part| self.counts.contains_key(part))
     }
 
+    /// Holds in force that refuse a request with these parts.
+    fn holds_of<'a>(&'a self, parts: &'a [u64], now: Duration) -> impl Iterator<Item = &'a Held> {
+        let active = self.holds.iter().filter(move |hold| now < hold.until);
+        active.filter(|hold| hold.matches(parts))
+    }
+
+    /// Takes note of an occurrence for the holds of which its crash is a new one.
+    fn note_crash(&mut self, occurrence: &Occurrence, now: Duration) {
+        let parts: Vec<u64> = occurrence.parts.iter().map(|it| it.part).collect();
+        for hold in self.holds.iter_mut().filter(|hold| hold.matches(&parts)) {
+            let same_crash = self.evidence.iter().map(|it| &it.occurrence);
+            let mut same_crash = same_crash.filter(|it| it.crash == occurrence.crash);
+            if !same_crash.any(|it| contains(it, &hold.parts)) {
+                hold.crash(occurrence.crash, now);
+            }
+        }
+    }
+
     /// Derives the holds from the evidence.
     fn revise(&mut self, now: Duration) {
-        let findings = self.attribute();
+        let findings = attribution::attribute(&self.evidence, &self.counts);
         for finding in &findings {
             self.hold(finding);
         }
@@ -451,9 +498,16 @@
             if hold.is_adopted || groups.any(|group| group.parts == hold.parts) {
                 continue;
             }
+            // Only a part of it can be a better explanation than the one that a probe has confirmed.
+            let mut groups = findings.iter().map(|finding| &finding.group);
+            if hold.is_confirmed && !groups.any(|group| is_within(&group.parts, &hold.parts)) {
+                continue;
+            }
             // A hold whose evidence was dropped stays: nothing else is known to account for its crashes.
             if count_crashes(&self.evidence, &hold.parts) >= hold.crashes {
                 hold.until = hold.until.min(now);
+                hold.probed_at = None;
+                hold.is_confirmed = false;
             }
         }
     }
@@ -468,103 +522,49 @@
         let Some(last) = last else {
             return;
         };
-        let last_crash = last.occurrence.crash;
-        let until = last.seen_at + hold_time(*crashes);
+        let mut hold = Held {
+            parts: group.parts.clone(),
+            crashes: *crashes,
+            last_crash: last.occurrence.crash,
+            last_crash_at: last.seen_at,
+            until: last.seen_at,
+            is_adopted: false,
+            probed_at: None,
+            is_confirmed: false,
+            announced: VecDeque::new(),
+        };
+        // Parts that a new report tells apart have been probed together.
+        for wider in &self.holds {
+            if is_within(&hold.parts, &wider.parts) {
+                hold.take_probes(wider);
+            }
+        }
+        hold.until = match (hold.is_confirmed, group.is_vouched) {
+            (true, _) => last.seen_at + LONG_HOLD,
+            (false, true) => last.seen_at + SHORT_HOLD,
+            (false, false) => last.seen_at + hold_time(*crashes),
+        };
         // The next crash after the hold counts together with those before it.
         for at in &group.occurrences {
             if let Some(evidence) = self.evidence.get_mut(*at) {
-                evidence.expires_at = evidence.expires_at.max(until + EVIDENCE_TTL);
+                evidence.expires_at = evidence.expires_at.max(hold.until + EVIDENCE_TTL);
             }
         }
-        let known = self.holds.iter_mut().find(|it| it.parts == group.parts);
+        let announcement = hold.announcement();
+        let known = self.holds.iter_mut().find(|it| it.parts == hold.parts);
         if let Some(known) = known {
-            known.announce(*crashes, last_crash);
-            known.extend(*crashes, last_crash, until);
+            known.announce(announcement);
+            known.take_probes(&hold);
+            // The report that vouches for the last of the parts may come late.
+            if group.is_vouched && !known.is_confirmed && !known.is_adopted {
+                known.until = known.until.min(hold.until);
+            }
+            known.extend(&hold);
             known.is_adopted = false;
             return;
         }
-        self.merge(Held {
-            parts: group.parts.clone(),
-            crashes: *crashes,
-            last_crash,
-            until,
-            is_adopted: false,
-            announced: [(*crashes, last_crash)].into(),
-        });
-    }
-
-    /// Explains crashes by groups of parts: first by groups that are not vouched for, among them by the one with the
-    /// most crashes, and among these by the one with the fewest occurrences. Crashes that a group explains don't count
-    /// for those after it.
-    fn attribute(&self) -> Vec<Finding> {
-        let mut groups = self.groups();
-        let mut explained: HashSet<u64> = HashSet::new();
-        let mut findings = Vec::new();
-        loop {
-            let rank = |group: &Group| {
-                let crashes = group.crashes.iter().filter(|it| !explained.contains(it));
-                let crashes = crashes.count();
-                let min_crashes = match group.is_vouched {
-                    true => MIN_VOUCHED_CRASHES,
-                    false => MIN_CRASHES,
-                };
-                let rank = (group.is_vouched, Reverse(crashes), group.occurrences.len());
-                (crashes >= min_crashes).then_some(rank)
-            };
-            let Some(best) = groups.iter().filter_map(rank).min() else {
-                return findings;
-            };
-            let (_, Reverse(crashes), _) = best;
-            let (found, others): (Vec<Group>, Vec<Group>) =
-                groups.into_iter().partition(|it| rank(it) == Some(best));
-            groups = others;
-            for group in found {
-                explained.extend(&group.crashes);
-                findings.push(Finding { group, crashes });
-            }
-        }
-    }
-
-    /// Groups of parts that have enough crashes to be held.
-    fn groups(&self) -> Vec<Group> {
-        let mut by_part: BTreeMap<u64, (Vec<usize>, bool)> = BTreeMap::new();
-        for (at, evidence) in self.evidence.iter().enumerate() {
-            let suspects = evidence.occurrence.parts.iter();
-            let count = |part| self.counts.get(part).copied().unwrap_or_default();
-            for suspect in suspects.filter(|it| count(&it.part) >= MIN_CRASHES) {
-                let (occurrences, is_vouched) = by_part.entry(suspect.part).or_default();
-                occurrences.push(at);
-                *is_vouched |= suspect.vouched;
-            }
-        }
-        let mut groups: BTreeMap<Vec<usize>, Group> = BTreeMap::new();
-        for (part, (occurrences, is_vouched)) in by_part {
-            let crash = |at: &usize| self.evidence.get(*at).map(|it| it.occurrence.crash);
-            let crashes: BTreeSet<u64> = occurrences.iter().filter_map(crash).collect();
-            let group = groups.entry(occurrences.clone()).or_insert(Group {
-                parts: Vec::new(),
-                is_vouched: true,
-                occurrences,
-                crashes,
-            });
-            group.parts.push(part);
-            group.is_vouched &= is_vouched;
-        }
-        groups.into_values().collect()
-    }
-}
-
-impl Evidence {
-    /// Takes over what another report of the occurrence vouches for; returns whether that is new.
-    fn vouch(&mut self, parts: &[Suspect]) -> bool {
-        let mut changed = false;
-        for suspect in &mut self.occurrence.parts {
-            let mut others = parts.iter().filter(|other| other.part == suspect.part);
-            let vouched = others.any(|other| other.vouched);
-            changed |= vouched && !suspect.vouched;
-            suspect.vouched |= vouched;
-        }
-        changed
+        hold.announce(announcement);
+        self.merge(hold);
     }
 }
 
@@ -580,18 +580,6 @@
     }
 }
 
-/// Number of crashes with an occurrence that contains all these parts.
-fn count_crashes(evidence: &VecDeque<Evidence>, parts: &[u64]) -> usize {
-    let contains = |occurrence: &Occurrence, part: &u64| {
-        let mut suspects = occurrence.parts.iter();
-        suspects.any(|suspect| suspect.part == *part)
-    };
-    let occurrences = evidence.iter().map(|evidence| &evidence.occurrence);
-    let matching = occurrences.filter(|it| parts.iter().all(|part| contains(it, part)));
-    let crashes: HashSet<u64> = matching.map(|it| it.crash).collect();
-    crashes.len()
-}
-
 /// Time for which a group with this number of crashes is held after the last one.
 fn hold_time(crashes: usize) -> Duration {
     match crashes >= LONG_HOLD_CRASHES {
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -36,9 +36,11 @@
     pub retries: Counter,
     /// Streams resumed at another endpoint.
     pub resumes: Counter,
+    /// Responses whose head was late.
+    pub late_heads: Counter,
     /// Attempts to move streams from silent endpoints, by how they ended.
     pub moves: Family<Move, Counter>,
-    /// Endpoints that ended when they had just begun to respond, as seen by this daemon.
+    /// Responses that were cut at their start, as evidence against the parts of their prompts.
     pub crashes: Counter,
     /// Groups of prompt parts whose requests are refused.
     pub held_parts: Gauge,
@@ -71,9 +73,10 @@
             first_byte,
             retries: metric::register(registry, "retries", "Requests sent again"),
             resumes: metric::register(registry, "resumes", "Streams resumed elsewhere"),
+            late_heads: metric::register(registry, "late_heads", "Responses whose head was late"),
             moves: metric::register(registry, "moves", "Moves of streams from silent endpoints"),
             crashes: metric::register(registry, "crashes", "Responses cut at their start"),
-            held_parts: metric::register(registry, "held_parts", "Prompt parts refused"),
+            held_parts: metric::register(registry, "held_parts", "Groups of prompt parts refused"),
             late: metric::register(registry, "late", "Complete streams not on time"),
             failed_connections: metric::register(
                 registry,
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -13,7 +13,7 @@
 
 use super::choose::{self, Choice, Unavailable};
 use super::meter::Move;
-use super::quarantine::{START, SURVIVAL};
+use super::quarantine::{CRASH_WINDOW, SURVIVAL_TIME};
 use super::relay::{Body, empty_body, forwarded_parts};
 use super::send::{Context, Exchange, Outcome, Pending, Phase};
 use super::{journal, quarantine};
@@ -234,7 +234,7 @@
             match self.receive().await {
                 Received::Events(bytes) => {
                     self.record_event();
-                    if self.since_head() >= SURVIVAL {
+                    if self.since_head() >= SURVIVAL_TIME {
                         self.record_survival();
                     }
                     return Ok(Some(bytes));
@@ -244,7 +244,7 @@
                     if self.longest_pause <= self.ctx.admission.route.gap {
                         self.record_lateness(false);
                     }
-                    if self.since_head() >= SURVIVAL || self.is_framed() {
+                    if self.since_head() >= SURVIVAL_TIME || self.is_framed() {
                         self.record_survival();
                     }
                     if let Some(exchange) = self.exchange.take() {
@@ -321,9 +321,11 @@
         }
     }
 
-    /// Whether a stream that ends now was broken off: within an event, or before the first one.
+    /// Whether a stream that ends now was broken off: within an event, or before the first one. A caller's stream that
+    /// resumes after its last event has none.
     fn is_cut(&self) -> bool {
-        let has_event = self.first_event_after.is_some() || self.ctx.call.last_event.is_some();
+        let may_be_empty = self.ctx.call.last_event.is_some() && self.is_framed();
+        let has_event = self.first_event_after.is_some() || may_be_empty;
         self.events.is_partial() || !has_event
     }
 
@@ -338,20 +340,25 @@
         now.saturating_sub(answered_at)
     }
 
-    /// Records that the request does not crash endpoints.
+    /// Records that the request does not crash endpoints, once, and again while its parts are held.
     fn record_survival(&mut self) {
-        if !std::mem::replace(&mut self.has_survived, true) {
-            quarantine::survived(&self.ctx.node, &self.ctx.call);
+        let node = &self.ctx.node;
+        let is_first = !std::mem::replace(&mut self.has_survived, true);
+        if is_first || quarantine::held(node, &self.ctx.call).is_some() {
+            quarantine::survived(node, &self.ctx.call);
         }
     }
 
-    /// Records that the endpoint ended, unless the request ran there or elsewhere for long enough.
+    /// Records that the endpoint ended just after the request had begun there. Until its first event a request that is
+    /// to crash the endpoint may take any time.
     fn record_crash(&self) {
-        if let Some(exchange) = &self.exchange
-            && !self.has_survived
-            && self.since_head() < START
-        {
-            quarantine::crashed(&self.ctx.node, &self.ctx.call, &exchange.endpoint);
+        let Some(exchange) = &self.exchange else {
+            return;
+        };
+        let has_event = self.last_event_at >= exchange.answered_at;
+        if !self.has_survived && (!has_event || self.since_head() < CRASH_WINDOW) {
+            let (node, call) = (&self.ctx.node, &self.ctx.call);
+            quarantine::crashed(node, call, &exchange.endpoint, has_event);
         }
     }
 
@@ -544,53 +551,46 @@
         resumed
     }
 
-    /// Resumes at another endpoint after the event `last`. Endpoints in `silent`, and those that do not respond in time,
-    /// are listened to until one has begun to respond.
+    /// Resumes at another endpoint after the event `last`. All endpoints that were asked, also those in `pending`, are
+    /// listened to until one has begun to respond.
     async fn reconnect(
         &mut self,
         last: Option<u64>,
-        mut silent: Vec<Pending>,
+        mut pending: Vec<Pending>,
     ) -> Result<(), &'static str> {
         let deadline = self.ctx.node.now() + self.caller_patience();
         let mut attempts = 0;
-        // An endpoint that was asked before is given the usual time before another one is.
-        let mut max_wait = self.ctx.max_wait(&silent);
         loop {
-            let outcome = match silent.is_empty() {
-                true => None,
-                false => self.ctx.receive_any(&mut silent, max_wait).await,
-            };
-            max_wait = RETRY_INTERVAL.min(self.ctx.remaining());
-            let outcome = match outcome {
-                Some(outcome) => outcome,
-                None if self.ctx.is_out_of_time() => return Err("out_of_time"),
-                None => match self.next_endpoint(attempts) {
+            if self.ctx.is_out_of_time() {
+                return Err("out_of_time");
+            }
+            if self.ctx.all_late(&mut pending) {
+                match self.next_endpoint(attempts) {
                     Ok(choice) => {
                         attempts += 1;
-                        let max_wait = self.ctx.max_wait(&silent);
-                        self.ctx.send(&choice, last, max_wait).await
+                        pending.extend(self.ctx.open(&choice, last).await);
                     }
-                    Err(_) if !silent.is_empty() => continue,
+                    Err(_) if !pending.is_empty() => {}
                     Err(cause) if cause.is_lasting() => return Err(cause.reason()),
                     Err(cause) if self.ctx.node.now() + RETRY_INTERVAL > deadline => {
                         return Err(cause.reason());
                     }
-                    Err(_) => {
-                        sleep(RETRY_INTERVAL).await;
-                        continue;
-                    }
-                },
-            };
-            match outcome {
-                Outcome::Answered(exchange) if exchange.parts.status.is_success() => {
-                    let node = &self.ctx.node;
-                    node.meter.resumes.inc();
-                    self.silent_since = node.now();
-                    self.exchange = Some(exchange);
-                    return Ok(());
+                    Err(_) => sleep(RETRY_INTERVAL).await,
                 }
-                Outcome::TimedOut(pending) => silent.push(*pending),
-                _ => {}
+            }
+            if pending.is_empty() {
+                continue;
+            }
+            let max_wait = self.ctx.max_wait(&pending, RETRY_INTERVAL);
+            let outcome = self.ctx.receive_any(&mut pending, max_wait).await;
+            if let Some(Outcome::Answered(exchange)) = outcome
+                && exchange.parts.status.is_success()
+            {
+                let node = &self.ctx.node;
+                node.meter.resumes.inc();
+                self.silent_since = node.now();
+                self.exchange = Some(exchange);
+                return Ok(());
             }
         }
     }
