--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -11,6 +11,7 @@
 pub mod demand;
 pub mod endpoint;
 pub mod engine;
+pub mod events;
 pub mod feed;
 pub mod fleet;
 pub mod inventory;
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::StreamExt;
 use futures::future::{pending, ready};
 use futures::stream::{once, unfold};
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::choose::{self, Choice, Unavailable};
+use super::events::{Events, Gap};
 use super::meter::Move;
 use super::quarantine::{CRASH_WINDOW, SURVIVAL_TIME};
 use super::relay::{Body, empty_body, forwarded_parts};
@@ -20,9 +21,6 @@
 use crate::state::record::Name;
 use crate::transport::exchange;
 
-/// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-
 /// Silence after which a stream is resumed elsewhere, as a multiple of the route's gap objective.
 const SILENCE_GAPS: u32 = 6;
 
@@ -47,86 +45,6 @@
 /// Gap after which callers give up, as a multiple of the route's gap objective.
 const CALLER_GAPS: u32 = 8;
 
-/// Splits received bytes into whole events.
-#[derive(Debug, Default)]
-pub struct Events {
-    buffer: BytesMut,
-    last: Option<u64>,
-}
-
-impl Events {
-    /// Starts after the event `last`, or at the start of a stream.
-    pub fn after(last: Option<u64>) -> Self {
-        Self {
-            buffer: BytesMut::new(),
-            last,
-        }
-    }
-
-    /// Identifier of the last whole event.
-    pub fn last(&self) -> Option<u64> {
-        self.last
-    }
-
-    /// Whether part of an event is buffered.
-    pub fn is_partial(&self) -> bool {
-        !self.buffer.is_empty()
-    }
-
-    /// Discards a partial event.
-    pub fn discard_partial(&mut self) {
-        self.buffer.clear();
-    }
-
-    /// Adds bytes and returns all whole events.
-    ///
-    /// # Errors
-    /// [`Gap`] when identifiers are not consecutive or an event is too long.
-    ///
-    /// ```
-    /// use persimmoncroft::serving::stream::Events;
-    /// let mut events = Events::default();
-    /// let whole = events.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
-    /// assert_eq!(&whole[..], b"id: 1\ndata: a\n\n");
-    /// assert_eq!(events.last(), Some(1));
-    /// assert!(events.push(b"ta: b\n\nid: 4\ndata: d\n\n").is_err());
-    /// ```
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Gap> {
-        let search_start = self.buffer.len().saturating_sub(1);
-        self.buffer.extend_from_slice(bytes);
-        let boundary = self.buffer[search_start..]
-            .windows(2)
-            .rposition(|pair| pair == b"\n\n");
-        let Some(boundary) = boundary else {
-            return match self.buffer.len() > MAX_EVENT_BYTES {
-                true => Err(Gap),
-                false => Ok(Bytes::new()),
-            };
-        };
-        let whole = self.buffer.split_to(search_start + boundary + 2).freeze();
-        for line in whole.split(|byte| *byte == b'\n') {
-            let Some(id) = line.strip_prefix(b"id:") else {
-                continue;
-            };
-            let id = std::str::from_utf8(id)
-                .ok()
-                .and_then(|id| id.trim().parse().ok());
-            let Some(id) = id else {
-                continue;
-            };
-            if self.last.is_some_and(|last| id != last + 1) {
-                return Err(Gap);
-            }
-            self.last = Some(id);
-        }
-        Ok(whole)
-    }
-}
-
-/// Error in the sequence of events: one is missing, repeated or too long.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Gap;
-
 struct Forwarder {
     ctx: Context,
     exchange: Option<Box<Exchange>>,
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -1,6 +1,6 @@
 //! Streams are forwarded by whole events, regardless of how they are split into chunks.
 
-use persimmoncroft::serving::stream::{Events, Gap};
+use persimmoncroft::serving::events::{Events, Gap};
 use quickcheck::quickcheck;
 
 fn stream(from: u64, count: u64) -> Vec<u8> {
