Ask the quarantine instead of a metric whether anything is held

The metric counts only holds that are announced to peers. No change of behaviour but for groups of more than 16 parts, which were not compared with requests.

--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -267,6 +267,21 @@
         sound_at.is_some_and(|at| now < *at + VOUCHING_TTL)
     }
 
+    /// Whether anything is held, or was lately; without holds, no request has to be compared with them.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let mut quarantine = Quarantine::default();
+    /// assert!(!quarantine.has_holds());
+    /// let hold = Hold { parts: vec![1], left_millis: 20_000, ..Hold::default() };
+    /// quarantine.adopt(hold, Duration::ZERO);
+    /// assert!(quarantine.has_holds());
+    /// ```
+    pub fn has_holds(&self) -> bool {
+        !self.holds.is_empty()
+    }
+
     /// Time for which a request with these parts is refused, if it is.
     ///
     /// ```
--- a/src/serving/quarantine.rs
+++ b/src/serving/quarantine.rs
@@ -24,10 +24,10 @@
 
 /// Time after which a call that is refused because of its prompt may be sent again; `None` if it is not refused.
 pub fn held(node: &Node, call: &Call) -> Option<Duration> {
-    if node.meter.held_parts.get() == 0 {
+    let quarantine = node.quarantine.lock();
+    if !quarantine.has_holds() {
         return None;
     }
-    let quarantine = node.quarantine.lock();
     let left = quarantine.held(&call.shared_parts(), node.now())?;
     Some(left.min(MAX_RETRY_AFTER))
 }
