Log and measure how old a daemon's copy of a table is

Each copy now has an age, the time for which changes may have been missed; a reader tells its age to the daemons that follow it. The line `feed: age` says when it passes the time within which changes must be in force, two more lines say why a table was read anew. No decision uses the age yet.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,6 +12,7 @@
 pub mod consent;
 pub mod election;
 pub mod forecast;
+pub mod freshness;
 pub mod gate;
 pub mod grant;
 pub mod health;
--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -12,8 +12,10 @@
 use tokio::time::sleep;
 
 use super::codec::Notice;
+use super::meter::Age;
 use super::peers::source;
 use super::{Node, jitter};
+use crate::coordination::freshness::Freshness;
 use crate::coordination::reader::{Selector, Source};
 use crate::state::mirror::{Changes, Mirror};
 use crate::state::record::Name;
@@ -80,6 +82,17 @@
     Endpoints,
 }
 
+/// Changes of a table, with what their source knows about its copy.
+#[derive(Debug)]
+pub struct Update {
+    /// The changes.
+    pub changes: Changes,
+    /// Time for which removals are to be deferred.
+    pub deferral: Duration,
+    /// Time for which the source may have missed changes.
+    pub age: Duration,
+}
+
 /// One table as this daemon knows it.
 #[derive(Debug, Default)]
 pub struct Feed {
@@ -92,6 +105,7 @@
 #[derive(Debug, Default)]
 struct State {
     mirror: Mirror,
+    freshness: Freshness,
     failing_since: Option<Duration>,
     /// Whether the last read was from the store, so that other daemons may follow this one.
     reads_store: bool,
@@ -118,10 +132,18 @@
         is_first
     }
 
-    /// Records a read that succeeded; returns whether it is the first after a failure.
-    fn succeeded(&self, source: &Source, changes: &Changes, now: Duration) -> bool {
+    /// Records a read that succeeded and contains all changes before `proven_at`; returns whether it is the first after
+    /// a failure.
+    fn succeeded(
+        &self,
+        source: &Source,
+        changes: &Changes,
+        proven_at: Duration,
+        now: Duration,
+    ) -> bool {
         let mut state = self.state.lock();
         state.mirror.apply(changes);
+        state.freshness.prove(proven_at);
         state.reads_store = *source == Source::Store;
         let was_failing = state.failing_since.take().is_some();
         if was_failing {
@@ -134,6 +156,11 @@
         was_failing
     }
 
+    /// Time for which changes may have been missed; `None` before the first read.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.state.lock().freshness.age(now)
+    }
+
     fn defer_until(&self) -> Duration {
         self.state.lock().defer_until
     }
@@ -145,14 +172,14 @@
     }
 
     /// Waits until the table has changed after a version, for at most `wait`; `None` if this daemon does not read the
-    /// store. Returns the changes, and the time for which removals are to be deferred.
+    /// store.
     pub async fn follow(
         &self,
         name: &str,
         after: u64,
         wait: Duration,
         now: impl Fn() -> Duration,
-    ) -> Option<(Changes, Duration)> {
+    ) -> Option<Update> {
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
@@ -164,7 +191,12 @@
                 let changes = state.mirror.changes_after(name, after);
                 let is_over = tokio::time::Instant::now() >= deadline;
                 if !changes.rows.is_empty() || changes.all || is_over {
-                    return Some((changes, state.defer_until.saturating_sub(now())));
+                    let now = now();
+                    return Some(Update {
+                        changes,
+                        deferral: state.defer_until.saturating_sub(now),
+                        age: state.freshness.age(now).unwrap_or_default(),
+                    });
                 }
             }
             let _ = tokio::time::timeout_at(deadline, changed).await;
@@ -194,22 +226,31 @@
             true => RECOVERY_POLL_WAIT,
             false => poll_wait(node),
         };
+        let started = node.now();
         let result = tokio::select! {
             result = read(node, table, &source, &channel, version, poll_wait) => result,
             () = feed.nudge.notified() => {
                 // The connection may be dead without having been reset.
                 channel = Channel::open(node.settings.store_address);
                 version = None;
+                node.journal.line(|| {
+                    let waited = node.now().saturating_sub(started);
+                    spdlog::info!("feed: read given up for a new one", kv: {
+                        table:? = table,
+                        source:? = source,
+                        waited_ms = waited.as_millis() as u64,
+                    });
+                });
                 continue;
             }
         };
         let now = node.now();
         has_failed = result.is_err();
         match result {
-            Ok(changes) => {
+            Ok((changes, proven_at)) => {
                 selector.succeeded(&source);
                 apply(node, table, &changes);
-                if feed.succeeded(&source, &changes, now) {
+                if feed.succeeded(&source, &changes, proven_at, now) {
                     spdlog::info!("feed: regained", kv: {
                         table:? = table,
                         source:? = source,
@@ -259,6 +300,39 @@
     }
 }
 
+/// Publishes the ages of both tables, and logs when one becomes older than the time within which its changes must be in
+/// force, or is no longer.
+pub fn report_ages(node: &Node) {
+    let now = node.now();
+    for table in [Table::Operator, Table::Endpoints] {
+        let feed = feed(node, table);
+        let Some(age) = feed.age(now) else {
+            continue;
+        };
+        let label = Age {
+            table: table_name(node, table),
+        };
+        let gauge = node.meter.table_age.get_or_create(&label);
+        gauge.set(age.as_millis() as i64);
+        let max_age = match table {
+            Table::Operator => node.settings.apply_within,
+            Table::Endpoints => node.settings.drain_within,
+        };
+        let (changed, version) = {
+            let mut state = feed.state.lock();
+            (state.freshness.check(max_age, now), state.mirror.version())
+        };
+        if let Some(is_overdue) = changed {
+            spdlog::info!("feed: age", kv: {
+                table:? = table,
+                overdue = is_overdue,
+                age_ms = age.as_millis() as u64,
+                version,
+            });
+        }
+    }
+}
+
 /// Feed of a table.
 pub fn feed(node: &Node, table: Table) -> &Feed {
     match table {
@@ -283,6 +357,7 @@
     }
 }
 
+/// Reads changes; returns them with the time before which all changes are known.
 async fn read(
     node: &Node,
     table: Table,
@@ -290,15 +365,24 @@
     channel: &Channel,
     version: Option<u64>,
     poll_wait: Duration,
-) -> Result<Changes, Error> {
+) -> Result<(Changes, Duration), Error> {
+    let started = node.now();
     match (source, version) {
-        (Source::Store, None) => read_all(node, table, channel).await,
-        (Source::Store, Some(after)) => read_changes(node, table, channel, after, poll_wait).await,
+        (Source::Store, None) => Ok((read_all(node, table, channel).await?, started)),
+        (Source::Store, Some(after)) => {
+            let changes = read_changes(node, table, channel, after, poll_wait).await?;
+            // A poll without changes is answered at its end.
+            let waited = match changes.rows.is_empty() {
+                true => poll_wait,
+                false => Duration::ZERO,
+            };
+            Ok((changes, started + waited))
+        }
         (Source::Peer(reader), after) => {
-            let (changes, deferral) =
-                source::follow(node, reader, table, after.unwrap_or_default()).await?;
-            feed(node, table).defer(node.now() + deferral);
-            Ok(changes)
+            let update = source::follow(node, reader, table, after.unwrap_or_default()).await?;
+            let now = node.now();
+            feed(node, table).defer(now + update.deferral);
+            Ok((update.changes, now.saturating_sub(update.age)))
         }
     }
 }
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -25,6 +25,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the gauge of tables' ages.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Age {
+    /// The table.
+    pub table: &'static str,
+}
+
 /// Metrics of the daemon.
 #[derive(Debug)]
 pub struct Meter {
@@ -50,6 +57,8 @@
     pub failed_connections: Counter,
     /// New connections to endpoints.
     pub connects: Counter,
+    /// Time for which changes of a table may have been missed, in milliseconds.
+    pub table_age: Family<Age, Gauge>,
     /// Calls to the platform's store.
     pub store_calls: Counter,
     /// Orders sent to engines.
@@ -84,6 +93,11 @@
                 "Connections from callers that ended with an error",
             ),
             connects: metric::register(registry, "connects", "New connections to endpoints"),
+            table_age: metric::register(
+                registry,
+                "table_age_milliseconds",
+                "Time for which changes of a table may have been missed",
+            ),
             store_calls: metric::register(registry, "store_calls", "Calls to the store"),
             orders: metric::register(registry, "orders", "Orders to engines"),
             reports: metric::register(registry, "reports", "Reports read from engines"),
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -401,6 +401,7 @@
         }
         let view = node.fleet.view.load();
         node.pool.prune(|id| view.all.contains_key(id));
+        feed::report_ages(&node);
         node.journal.report_dropped(SWEEP_INTERVAL);
         node.meter.in_flight.set(node.requests.len() as i64);
     }
--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -7,6 +7,7 @@
 
 use super::{LONGEST_LAG, MAX_LAG, Peer, apply_holdings, send, source, update_remote_in_flight};
 use crate::protocol::digest::{Ask, Body, Digest, Registration, State};
+use crate::serving::feed::Table;
 use crate::serving::{Node, quarantine};
 use crate::transport::gossip::MAX_BYTES;
 
@@ -114,13 +115,15 @@
         return;
     }
     let max_lag = (MAX_LAG * node.peers.interval_factor()).min(LONGEST_LAG);
-    for (versions, lag, feed) in [
+    for (table, versions, lag, feed) in [
         (
+            Table::Operator,
             (operator, state.operator),
             &node.peers.operator_lag,
             &node.operator_feed,
         ),
         (
+            Table::Endpoints,
             (endpoints, state.endpoints),
             &node.peers.endpoints_lag,
             &node.endpoint_feed,
@@ -128,6 +131,14 @@
     ] {
         if lag.lock().observe(versions, max_lag, now) {
             feed.nudge.notify_one();
+            node.journal.line(|| {
+                spdlog::info!("peers: a peer has newer rows", kv: {
+                    table:? = table,
+                    peer: = registration.gossip,
+                    own = versions.0,
+                    newer = versions.1,
+                });
+            });
         }
     }
 }
--- a/src/serving/peers/source.rs
+++ b/src/serving/peers/source.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::serving::Node;
-use crate::serving::feed::{self, Table};
+use crate::serving::feed::{self, Table, Update};
 use crate::state::mirror::Changes;
 use crate::state::record::Name;
 use crate::state::row::Row;
@@ -58,13 +58,15 @@
     /// Time for which removals are to be deferred, in milliseconds.
     #[serde(rename = "d", default)]
     deferral_millis: u64,
+    /// Time for which the reader may have missed changes, in milliseconds.
+    #[serde(rename = "p", default)]
+    age_millis: u64,
     /// Key, value in base64 unless the row was deleted, and version.
     #[serde(rename = "r", default)]
     rows: Vec<(Name, Option<String>, u64)>,
 }
 
-/// Reads the changes of a table after a version from a reader, which waits for the first one. Returns them and the time
-/// for which removals are to be deferred.
+/// Reads the changes of a table after a version from a reader, which waits for the first one.
 ///
 /// # Errors
 /// When the reader is unknown, does not answer, or does not read the store itself.
@@ -73,7 +75,7 @@
     reader: &Name,
     table: Table,
     after: u64,
-) -> Result<(Changes, Duration), feed::Error> {
+) -> Result<Update, feed::Error> {
     let unknown = || feed::Error::UnknownReader(reader.clone());
     let address = node.peers.call_address(reader).ok_or_else(unknown)?;
     let (params, timeout) = ((table, after), FOLLOW_WAIT + FOLLOW_TIMEOUT);
@@ -102,13 +104,18 @@
         version: response.version,
         all: response.all,
     };
-    Ok((changes, Duration::from_millis(response.deferral_millis)))
+    Ok(Update {
+        changes,
+        deferral: Duration::from_millis(response.deferral_millis),
+        age: Duration::from_millis(response.age_millis),
+    })
 }
 
 async fn serve_follow(node: &Node, table: Table, after: u64) -> Option<FollowResponse> {
     let name = feed::table_name(node, table);
     let feed = feed::feed(node, table);
-    let (changes, deferral) = feed.follow(name, after, FOLLOW_WAIT, || node.now()).await?;
+    let update = feed.follow(name, after, FOLLOW_WAIT, || node.now()).await?;
+    let changes = update.changes;
     let rows = changes.rows.into_iter().map(|row| {
         let value = row.value.map(|value| STANDARD.encode(value));
         (row.key, value, row.version)
@@ -116,7 +123,8 @@
     Some(FollowResponse {
         version: changes.version,
         all: changes.all,
-        deferral_millis: deferral.as_millis() as u64,
+        deferral_millis: update.deferral.as_millis() as u64,
+        age_millis: update.age.as_millis() as u64,
         rows: rows.collect(),
     })
 }
--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -50,6 +50,10 @@
     pub metrics_listen: SocketAddr,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
+    /// Time within which a change of the operators' table must be in force after the store has acknowledged it.
+    pub apply_within: Duration,
+    /// Time within which an endpoint gets no more requests after the store has acknowledged that it leaves.
+    pub drain_within: Duration,
     /// Time after the lease holder's last order for which no other daemon may send orders.
     pub placement_lease: Duration,
     /// Settings that can change while the daemon runs.
@@ -76,6 +80,8 @@
             gossip_listen: free,
             metrics_listen: free,
             store_address,
+            apply_within: Duration::from_secs(2),
+            drain_within: Duration::from_secs(2),
             placement_lease: Duration::from_secs(3),
             tuning: Tuning {
                 log_level: Level::Info,
@@ -228,6 +234,12 @@
     key("platform", "store", ADDRESS, true, |s, text| {
         assign(&mut s.store_address, text.parse().ok()?)
     }),
+    key("platform", "apply_ms", NUMBER, false, |s, text| {
+        assign(&mut s.apply_within, parse_millis(text)?)
+    }),
+    key("platform", "drain_ms", NUMBER, false, |s, text| {
+        assign(&mut s.drain_within, parse_millis(text)?)
+    }),
     key("limits", "retry_window_s", NUMBER, false, |s, text| {
         assign(&mut s.tuning.retry_window, parse_seconds(text)?)
     }),
@@ -241,7 +253,7 @@
         assign(&mut s.tuning.cold_over, parse_number(text)?)
     }),
     key("placement", "lease_ms", NUMBER, false, |s, text| {
-        assign(&mut s.placement_lease, parse_seconds(text)? / 1000)
+        assign(&mut s.placement_lease, parse_millis(text)?)
     }),
     key("placement", "load_window_s", NUMBER, false, |s, text| {
         assign(&mut s.tuning.load_window, parse_seconds(text)?)
@@ -283,6 +295,10 @@
     Duration::try_from_secs_f64(parse_number(text)?).ok()
 }
 
+fn parse_millis(text: &str) -> Option<Duration> {
+    Some(parse_seconds(text)? / 1000)
+}
+
 /// Line number of a key in a section, from 1; 0 if it is not found.
 fn line_of(text: &str, section: &str, name: &str) -> usize {
     let mut current = "-";
