Bound the time for which a copy of a table may be without proof

Cause: silence was taken for "no change". A poll waited 10 s and 1.2 s more for its answer; one that was sent while the store was silent is never answered, so its daemon, and all that follow it, missed every change for up to 11.2 s. The pause after a change makes the readers of all zones poll at the same moment, so all may be stuck at once; then no heartbeat names a newer version, and nothing else ended the wait.

Now a poll waits half of the time within which changes must be in force (settings apply_ms and drain_ms, from the platform's bounds). An answer that is 300 ms late is looked for on a second connection as well, and the first of the two that succeeds counts. A follower does not accept changes from a reader that has had no proof for longer than that time, and asks the store itself.

--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -1,15 +1,17 @@
 //! Watches the operators' and the endpoints' tables, in the platform's store or through a daemon that reads the store.
 
 use std::collections::HashSet;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use displaydoc::Display;
+use futures::future::{Either, select};
 use http::StatusCode;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::codec::Notice;
 use super::meter::Age;
@@ -23,15 +25,13 @@
 use crate::transport::exchange::{self, Channel};
 use crate::transport::peer;
 
-/// Time that a long poll waits for a change in a small fleet, whose heartbeats show when it hangs.
-const POLL_WAIT: Duration = Duration::from_secs(10);
-
-/// Time that a long poll waits for a change in a large fleet, so that a connection that hangs is noticed.
-const LARGE_FLEET_POLL_WAIT: Duration = Duration::from_millis(1500);
-
-/// Time that a poll waits for a change after a failed read, so that a store that did not answer is soon asked again.
+/// Time that a poll waits for a change after a read that failed or is late, so that a store that did not answer is soon
+/// asked again.
 const RECOVERY_POLL_WAIT: Duration = Duration::from_millis(300);
 
+/// Time after the end of a poll's wait from which its response is late.
+const LATE_AFTER: Duration = Duration::from_millis(300);
+
 /// Timeout of a call, in addition to the time of a long poll.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
 
@@ -67,6 +67,8 @@
     Peer(peer::Error),
     /// reader {0} is not known any more
     UnknownReader(Name),
+    /// reader {0} has had no proof that its copy is current for {1:?}
+    Outdated(Name, Duration),
 }
 
 impl std::error::Error for Error {}
@@ -224,11 +226,11 @@
         };
         let poll_wait = match has_failed {
             true => RECOVERY_POLL_WAIT,
-            false => poll_wait(node),
+            false => max_age(node, table) / 2,
         };
         let started = node.now();
         let result = tokio::select! {
-            result = read(node, table, &source, &channel, version, poll_wait) => result,
+            result = read(node, table, &source, &mut channel, version, poll_wait) => result,
             () = feed.nudge.notified() => {
                 // The connection may be dead without having been reset.
                 channel = Channel::open(node.settings.store_address);
@@ -314,13 +316,10 @@
         };
         let gauge = node.meter.table_age.get_or_create(&label);
         gauge.set(age.as_millis() as i64);
-        let max_age = match table {
-            Table::Operator => node.settings.apply_within,
-            Table::Endpoints => node.settings.drain_within,
-        };
         let (changed, version) = {
             let mut state = feed.state.lock();
-            (state.freshness.check(max_age, now), state.mirror.version())
+            let changed = state.freshness.check(max_age(node, table), now);
+            (changed, state.mirror.version())
         };
         if let Some(is_overdue) = changed {
             spdlog::info!("feed: age", kv: {
@@ -349,11 +348,12 @@
     }
 }
 
-/// Time that a poll of the store waits for a change.
-fn poll_wait(node: &Node) -> Duration {
-    match node.peers.interval_factor() {
-        1 => POLL_WAIT,
-        _ => LARGE_FLEET_POLL_WAIT,
+/// Time within which a change of a table must be in force, and so the longest time without proof that a copy of it is
+/// current.
+fn max_age(node: &Node, table: Table) -> Duration {
+    match table {
+        Table::Operator => node.settings.apply_within,
+        Table::Endpoints => node.settings.drain_within,
     }
 }
 
@@ -362,7 +362,7 @@
     node: &Node,
     table: Table,
     source: &Source,
-    channel: &Channel,
+    channel: &mut Channel,
     version: Option<u64>,
     poll_wait: Duration,
 ) -> Result<(Changes, Duration), Error> {
@@ -370,16 +370,17 @@
     match (source, version) {
         (Source::Store, None) => Ok((read_all(node, table, channel).await?, started)),
         (Source::Store, Some(after)) => {
-            let changes = read_changes(node, table, channel, after, poll_wait).await?;
-            // A poll without changes is answered at its end.
-            let waited = match changes.rows.is_empty() {
-                true => poll_wait,
-                false => Duration::ZERO,
-            };
-            Ok((changes, started + waited))
+            let (result, other) = poll_with_spare(node, table, channel, after, poll_wait).await;
+            if let Some(other) = other {
+                *channel = other;
+            }
+            result
         }
         (Source::Peer(reader), after) => {
             let update = source::follow(node, reader, table, after.unwrap_or_default()).await?;
+            if update.age > max_age(node, table) {
+                return Err(Error::Outdated(reader.clone(), update.age));
+            }
             let now = node.now();
             feed(node, table).defer(now + update.deferral);
             Ok((update.changes, now.saturating_sub(update.age)))
@@ -387,20 +388,76 @@
     }
 }
 
-async fn read_changes(
+/// Polls the store for changes; returns them with the time before which all changes are known.
+async fn poll(
     node: &Node,
     table: Table,
     channel: &Channel,
     after: u64,
-    poll_wait: Duration,
-) -> Result<Changes, Error> {
-    let request = (node.codec.follow)(table_name(node, table), after, poll_wait);
-    let page = fetch(node, channel, request, poll_wait + CALL_TIMEOUT).await?;
-    Ok(Changes {
+    wait: Duration,
+) -> Result<(Changes, Duration), Error> {
+    let started = node.now();
+    let request = (node.codec.follow)(table_name(node, table), after, wait);
+    let page = fetch(node, channel, request, wait + CALL_TIMEOUT).await?;
+    // A poll without changes is answered at its end.
+    let waited = match page.rows.is_empty() {
+        true => wait,
+        false => Duration::ZERO,
+    };
+    let changes = Changes {
         rows: page.rows,
         version: page.version,
         all: false,
-    })
+    };
+    Ok((changes, started + waited))
+}
+
+/// Polls the store, and once more on another connection if the response is late, as the first connection may be dead
+/// without having been reset. Returns the result and the other connection, if it is the one that works.
+async fn poll_with_spare(
+    node: &Node,
+    table: Table,
+    channel: &Channel,
+    after: u64,
+    wait: Duration,
+) -> (Result<(Changes, Duration), Error>, Option<Channel>) {
+    let started = node.now();
+    let other = Channel::open(node.settings.store_address);
+    let (result, is_other) = {
+        let mut first = pin!(poll(node, table, channel, after, wait));
+        if let Ok(result) = timeout(wait + LATE_AFTER, first.as_mut()).await {
+            return (result, None);
+        }
+        log_late(node, table, after, started);
+        let second = pin!(poll(node, table, &other, after, RECOVERY_POLL_WAIT));
+        first_answer(first, second).await
+    };
+    (result, is_other.then_some(other))
+}
+
+/// Waits for the first of two reads that succeeds, or for both to fail; returns whether the result is the second one's.
+async fn first_answer<T>(
+    first: impl Future<Output = Result<T, Error>> + Unpin,
+    second: impl Future<Output = Result<T, Error>> + Unpin,
+) -> (Result<T, Error>, bool) {
+    match select(first, second).await {
+        Either::Left((Err(_), second)) => (second.await, true),
+        Either::Right((Err(_), first)) => (first.await, false),
+        Either::Left((result, _)) => (result, false),
+        Either::Right((result, _)) => (result, true),
+    }
+}
+
+fn log_late(node: &Node, table: Table, after: u64, started: Duration) {
+    node.meter.late_polls.inc();
+    node.journal.line(|| {
+        let waited = node.now().saturating_sub(started);
+        spdlog::info!("feed: poll is late", kv: {
+            table:? = table,
+            after,
+            waited_ms = waited.as_millis() as u64,
+        });
+    });
 }
 
 async fn read_all(node: &Node, table: Table, channel: &Channel) -> Result<Changes, Error> {
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -59,6 +59,8 @@
     pub connects: Counter,
     /// Time for which changes of a table may have been missed, in milliseconds.
     pub table_age: Family<Age, Gauge>,
+    /// Polls of the store that were not answered in time.
+    pub late_polls: Counter,
     /// Calls to the platform's store.
     pub store_calls: Counter,
     /// Orders sent to engines.
@@ -98,6 +100,7 @@
                 "table_age_milliseconds",
                 "Time for which changes of a table may have been missed",
             ),
+            late_polls: metric::register(registry, "late_polls", "Polls not answered in time"),
             store_calls: metric::register(registry, "store_calls", "Calls to the store"),
             orders: metric::register(registry, "orders", "Orders to engines"),
             reports: metric::register(registry, "reports", "Reports read from engines"),
