Read, log and count the limits that endpoints name

Responses to calls and reports are read for it now; `endpoints: rate limit` and `limited_endpoints` say what is known. No decision uses it yet.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -38,4 +38,5 @@
 pub mod revision;
 pub mod route;
 pub mod seat;
+pub mod statement;
 pub mod warmup;
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -51,6 +51,8 @@
     pub crashes: Counter,
     /// Groups of prompt parts whose requests are refused.
     pub held_parts: Gauge,
+    /// Endpoints that have named a limit.
+    pub limited_endpoints: Gauge,
     /// Streams that completed but were not on time.
     pub late: Counter,
     /// Connections from callers and checks that ended with an error.
@@ -88,6 +90,11 @@
             moves: metric::register(registry, "moves", "Moves of streams from silent endpoints"),
             crashes: metric::register(registry, "crashes", "Responses cut at their start"),
             held_parts: metric::register(registry, "held_parts", "Groups of prompt parts refused"),
+            limited_endpoints: metric::register(
+                registry,
+                "limited_endpoints",
+                "Endpoints that have named a limit",
+            ),
             late: metric::register(registry, "late", "Complete streams not on time"),
             failed_connections: metric::register(
                 registry,
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -25,6 +25,7 @@
 pub mod relay;
 pub mod send;
 pub mod settings;
+pub mod statement;
 pub mod stream;
 
 use std::collections::HashMap;
@@ -49,6 +50,7 @@
 
 use crate::coordination::quarantine::Quarantine;
 use crate::coordination::retry::{Limit, Window};
+use crate::coordination::statement::Statements;
 use crate::state::call::KeepAlive;
 use crate::state::record::Name;
 use crate::state::row::Change;
@@ -116,6 +118,8 @@
     retries: Mutex<HashMap<Name, Window>>,
     /// Parts of prompts that crash endpoints.
     pub quarantine: Mutex<Quarantine>,
+    /// What endpoints state about themselves.
+    pub statements: Mutex<Statements>,
     /// Demand to report to the placer.
     pub demand: demand::Demand,
     /// Model placement.
@@ -373,6 +377,7 @@
         limits: limits::Limits::default(),
         retries: Mutex::default(),
         quarantine: Mutex::default(),
+        statements: Mutex::default(),
         demand: demand::Demand::default(),
         placer: placer::Placer::open(settings.placement_lease),
         journal: journal::Journal::default(),
@@ -402,6 +407,7 @@
         let view = node.fleet.view.load();
         node.pool.prune(|id| view.all.contains_key(id));
         feed::report_ages(&node);
+        statement::sweep(&node, node.now());
         node.journal.report_dropped(SWEEP_INTERVAL);
         node.meter.in_flight.set(node.requests.len() as i64);
     }
--- a/src/serving/placer/order.rs
+++ b/src/serving/placer/order.rs
@@ -11,6 +11,7 @@
 use crate::serving::Node;
 use crate::serving::codec::{Operation, Order, Outcome, Report};
 use crate::serving::engine::Handle;
+use crate::serving::statement;
 use crate::state::record::Name;
 use crate::transport::exchange::Connection;
 
@@ -49,8 +50,11 @@
     let request = (node.codec.ask_report)(entry);
     let mut connection = connect(node, id, entry.address).await?;
     let response = connection.fetch(request, ORDER_TIMEOUT).await.ok()?;
-    let report = (node.codec.report)(response.body());
-    let reusable = keep_alive(response.version(), response.headers());
+    let (parts, body) = response.into_parts();
+    let head = (node.codec.head)(&parts);
+    statement::observe(node, id, &head);
+    let report = (node.codec.report)(&body);
+    let reusable = keep_alive(parts.version, &parts.headers);
     node.pool_connection(id, connection, reusable);
     report
 }
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -16,7 +16,7 @@
 use super::admit::Admission;
 use super::choose::{self, Choice, Unavailable};
 use super::endpoint::{Endpoint, InFlight};
-use super::{journal, quarantine};
+use super::{journal, quarantine, statement};
 use crate::state::call::{Call, Dispatch, Head};
 use crate::state::record::Name;
 use crate::transport::exchange::{Connection, Error};
@@ -304,11 +304,13 @@
         match response {
             Ok(response) => {
                 let (parts, body) = response.into_parts();
+                let head = (self.node.codec.head)(&parts);
+                statement::observe(&self.node, &choice.endpoint.entry.id, &head);
                 let exchange = Exchange {
                     endpoint: choice.endpoint.clone(),
                     connection: pending.connection,
                     flight: pending.flight,
-                    head: (self.node.codec.head)(&parts),
+                    head,
                     parts,
                     body,
                     answered_at: self.node.now(),
--- a/src/state/call.rs
+++ b/src/state/call.rs
@@ -124,7 +124,7 @@
 }
 
 /// Parsed head of an endpoint's response.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Head {
     /// Identifier of the call that the response belongs to.
     pub id: Option<Name>,
@@ -136,6 +136,8 @@
     pub endpoint: Option<Name>,
     /// Remaining time of the endpoint's cold start, if stated.
     pub cold: Option<Duration>,
+    /// Requests per second that the endpoint takes from all daemons together, if it names a limit.
+    pub rate_limit: Option<f64>,
     /// Whether and how long the connection may be kept for reuse after this response.
     pub keep_alive: KeepAlive,
 }
