Keep to the limits that endpoints name, over the whole fleet

Cause: daemons did not read what an endpoint states about itself in its answers. Class of fault: what an endpoint says to one daemon has no effect, and nothing carries it to the others.

coordination::statement holds the latest statement about each endpoint, whichever daemon heard it; news is broadcast at once, heartbeats repeat it, an answer without a limit withdraws it. The limit itself is held like a workspace's: by a home in each zone, which other daemons ask for each request. So the sum over all daemons stays within the limit, and a zone that is cut off keeps to its part. Every send takes from it: first ones, retries, resumed and moved streams. An endpoint that takes no more is passed over for others that have the model; without another one the request is refused at once.

The messages between daemons name what a limit applies to; those about workspaces look as before.

--- a/src/protocol/digest.rs
+++ b/src/protocol/digest.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::quarantine::{Hold, Occurrence};
+use crate::coordination::statement::Heard;
 use crate::state::record::Name;
 
 /// A message with its sender.
@@ -30,8 +31,8 @@
 pub enum Body {
     /// State of the sender, sent to every peer at each heartbeat.
     #[serde(rename = "s")]
-    State(State),
-    /// Request to a home of a workspace for rate limit units.
+    State(Box<State>),
+    /// Request to a home of a limit for units.
     #[serde(rename = "k")]
     Ask(Ask),
     /// Response of a home; the sender has deducted the units from its own bucket.
@@ -55,17 +56,31 @@
     /// Parts of prompts that were suspected of crashing endpoints and are sound.
     #[serde(rename = "v")]
     Sound(Vec<u64>),
+    /// What endpoints have stated about themselves, if it is new.
+    #[serde(rename = "t")]
+    Stated(Vec<Heard>),
 }
 
-/// Request for units of a workspace's rate limit.
+/// What a rate limit applies to.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Deserialize, Serialize)]
+pub enum Subject {
+    /// Requests of a workspace.
+    #[serde(rename = "w")]
+    Workspace(Name),
+    /// Requests to an endpoint that has named a limit.
+    #[serde(rename = "e")]
+    Endpoint(Name),
+}
+
+/// Request for units of a rate limit.
 #[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
 pub struct Ask {
     /// Number of the request, unique for its sender.
     #[serde(rename = "i")]
     pub id: u64,
-    /// Workspace.
-    #[serde(rename = "w")]
-    pub workspace: Name,
+    /// What the limit applies to.
+    #[serde(flatten)]
+    pub subject: Subject,
     /// Units of a caller's request that waits for them; 0 if none does.
     #[serde(rename = "u", default)]
     pub needed: u64,
@@ -80,9 +95,9 @@
     /// Number of the request.
     #[serde(rename = "i")]
     pub id: u64,
-    /// Workspace.
-    #[serde(rename = "w")]
-    pub workspace: Name,
+    /// What the limit applies to.
+    #[serde(flatten)]
+    pub subject: Subject,
     /// Units granted.
     #[serde(rename = "u", default)]
     pub units: u64,
@@ -135,6 +150,9 @@
     /// Parts of prompts whose requests the sender refuses.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub holds: Vec<Hold>,
+    /// What endpoints have stated about themselves.
+    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+    pub statements: Vec<Heard>,
     /// Whether the sender is shutting down.
     #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
     pub leaving: bool,
--- a/src/serving/choose.rs
+++ b/src/serving/choose.rs
@@ -40,6 +40,8 @@
     Adapter,
     /// Endpoints are paused after failures or rejections.
     Paused,
+    /// Endpoints take no more requests under the limits that they have named.
+    Limited,
     /// Endpoints are cold and have reached their request limit.
     Cold,
     /// Endpoints are full.
@@ -54,6 +56,7 @@
             Self::Model => "no_model",
             Self::Adapter => "no_adapter",
             Self::Paused => "endpoints_paused",
+            Self::Limited => "endpoints_limited",
             Self::Cold => "endpoints_cold",
             Self::Full => "endpoints_full",
             Self::Retry => "retry_budget",
@@ -177,6 +180,9 @@
     if state.health.is_paused(now) {
         return Err(Unavailable::Paused);
     }
+    if now < state.limited_until {
+        return Err(Unavailable::Limited);
+    }
     if now < state.cold_until && admission.service.cold_per_second > 0.0 {
         let limit = cold_limit(node, &entry.id, admission.service.cold_per_second);
         if !state.warmup.allows(limit, now) {
--- a/src/serving/endpoint.rs
+++ b/src/serving/endpoint.rs
@@ -35,6 +35,8 @@
     pub warmup: Warmup,
     /// Time until which the endpoint is cold.
     pub cold_until: Duration,
+    /// Time until which the endpoint takes no more requests under the limit that it has named.
+    pub limited_until: Duration,
     /// Models and their adapters, according to the placer or the entry.
     pub models: HashMap<Name, Vec<Name>>,
     /// Time of the placer's last report.
--- a/src/serving/limits.rs
+++ b/src/serving/limits.rs
@@ -1,9 +1,10 @@
-//! Workspaces' rate limits: the homes of a workspace hold its limit, other daemons ask them for units.
+//! Rate limits of workspaces, and those that endpoints name: the homes of a limit hold it, other daemons ask them for units.
 //!
-//! Each zone has one home per workspace, so that a zone that is cut off keeps its share. A daemon asks the home of its own
+//! Each zone has one home per limit, so that a zone that is cut off keeps its share. A daemon asks the home of its own
 //! zone first and the others if that one has no units or does not answer.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -11,13 +12,14 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::Node;
 use super::admit::{Admission, Refusal};
 use super::peers::{self, Home};
 use crate::coordination::allowance::{Allowance, Terms};
 use crate::coordination::grant::{Balance, Request};
-use crate::protocol::digest::{Ask, Body, Grant};
+use crate::protocol::digest::{Ask, Body, Grant, Subject};
 use crate::state::call::Call;
 use crate::state::catalog::Workspace;
 use crate::state::record::Name;
@@ -37,19 +39,102 @@
 /// Shortest `Retry-After` of a request over the rate.
 const MIN_WAIT: Duration = Duration::from_millis(50);
 
-/// This daemon's part of one workspace's limit.
+/// Lowest rate of requests to an endpoint, so that it can withdraw its limit in a response.
+const MIN_ENDPOINT_RATE: f64 = 0.25;
+
+/// Zones that may hold a part of an endpoint's limit, beside those for each request per second. A part can be overdrawn
+/// by one request, and an endpoint takes a burst of as many requests as this.
+const MIN_ENDPOINT_HOMES: f64 = 5.0;
+
+/// A rate limit for the whole fleet.
+#[derive(Debug, Clone)]
+struct Quota {
+    subject: Subject,
+    /// Units per second.
+    rate: f64,
+    /// Bucket capacity, in units.
+    burst: f64,
+}
+
+impl Quota {
+    fn workspace(workspace: &Workspace) -> Self {
+        Self {
+            subject: Subject::Workspace(workspace.name.clone()),
+            rate: workspace.rate,
+            burst: workspace.burst,
+        }
+    }
+
+    /// Limit of the requests to an endpoint that takes `rate_limit` of them per second.
+    fn endpoint(id: &Name, rate_limit: f64) -> Self {
+        let rate = rate_limit.max(MIN_ENDPOINT_RATE);
+        Self {
+            subject: Subject::Endpoint(id.clone()),
+            rate,
+            burst: rate,
+        }
+    }
+
+    /// The limit of a subject as this daemon knows it.
+    fn find(node: &Node, subject: &Subject) -> Option<Self> {
+        match subject {
+            Subject::Workspace(name) => {
+                let catalog = node.fleet.catalog.load();
+                catalog
+                    .as_ref()?
+                    .workspaces
+                    .get(name)
+                    .map(|it| Self::workspace(it))
+            }
+            Subject::Endpoint(id) => {
+                let rate_limit = node.statements.lock().rate_limit(id)?;
+                Some(Self::endpoint(id, rate_limit))
+            }
+        }
+    }
+
+    /// Daemons that hold the limit, that of this daemon's zone first.
+    fn homes(&self, node: &Node) -> Arc<[Home]> {
+        match &self.subject {
+            Subject::Workspace(name) => node.peers.homes(&node.settings, name),
+            Subject::Endpoint(id) => {
+                let key = format!("endpoint/{id}");
+                let homes = node.peers.homes(&node.settings, &key.as_str().into());
+                let most = (MIN_ENDPOINT_HOMES + self.rate) as usize;
+                match homes.len() > most {
+                    true => first_by_rank(&homes, &key, most).into(),
+                    false => homes,
+                }
+            }
+        }
+    }
+}
+
+/// The homes that rank first for a key, in their order; all daemons choose the same ones.
+fn first_by_rank(homes: &[Home], key: &str, count: usize) -> Vec<Home> {
+    let seed = xxh3_64(key.as_bytes());
+    let rank = |home: &Home| xxh3_64_with_seed(home.daemon.as_bytes(), seed);
+    let mut ranks: Vec<u64> = homes.iter().map(rank).collect();
+    ranks.sort_unstable();
+    let chosen = homes
+        .iter()
+        .filter(|home| ranks[..count].contains(&rank(home)));
+    chosen.cloned().collect()
+}
+
+/// This daemon's part of one limit.
 #[derive(Debug, Clone)]
 enum Share {
-    /// This daemon is a home of the workspace; the balance is what it asked other homes for.
+    /// This daemon is a home of the limit; the balance is what it asked other homes for.
     Home(Allowance, Balance),
     /// Other daemons are.
     Granted(Balance),
 }
 
-/// This daemon's shares of all workspaces' rate limits.
+/// This daemon's shares of all rate limits.
 #[derive(Debug, Default)]
 pub struct Limits {
-    shares: Mutex<HashMap<Name, Share>>,
+    shares: Mutex<HashMap<Subject, Share>>,
     /// Requests to homes that have not been answered.
     pending: Mutex<HashMap<u64, oneshot::Sender<Grant>>>,
     last_id: AtomicU64,
@@ -81,51 +166,76 @@
         if workspace.rate <= 0.0 {
             return Ok(());
         }
+        let quota = Quota::workspace(workspace);
+        let homes = quota.homes(node);
+        self.with(node, &quota, &homes, |share, now| {
+            if let Share::Granted(balance) = share {
+                balance.expect(units, now);
+            }
+        });
+        let taken = self.reserve(node, &quota, &homes, units).await;
+        taken.map_err(|wait| self.refuse(node, workspace, call, units, wait))
+    }
+
+    /// Takes one request to an endpoint that takes `rate_limit` requests per second from all daemons.
+    ///
+    /// # Errors
+    /// The time until the endpoint is expected to take another one.
+    pub async fn take_endpoint(
+        &self,
+        node: &Node,
+        id: &Name,
+        rate_limit: f64,
+    ) -> Result<(), Duration> {
+        let quota = Quota::endpoint(id, rate_limit);
+        let homes = quota.homes(node);
+        self.reserve(node, &quota, &homes, 1.0).await
+    }
+
+    /// Takes units, asking homes for them if needed.
+    ///
+    /// # Errors
+    /// The time until a home has units, if none has.
+    async fn reserve(
+        &self,
+        node: &Node,
+        quota: &Quota,
+        homes: &[Home],
+        units: f64,
+    ) -> Result<(), Duration> {
         let started = node.now();
-        let homes = node.peers.homes(&node.settings, &workspace.name);
-        self.expect(node, workspace, &homes, units);
         let mut shortest: Option<Duration> = None;
         for home in homes.iter().filter(|home| home.address.is_some()) {
-            match self.attempt(node, workspace, &homes, units) {
+            match self.attempt(node, quota, homes, units) {
                 Attempt::Taken => {
-                    self.ask_ahead(node, workspace, &homes);
+                    self.ask_ahead(node, quota, homes);
                     return Ok(());
                 }
-                Attempt::Denied(wait) => {
-                    return Err(self.refuse(node, workspace, call, units, wait));
-                }
+                Attempt::Denied(wait) => return Err(wait),
                 Attempt::Ask(request, own) => {
                     shortest = shorter(shortest, own);
                     if node.now() > started + MAX_WAIT {
                         break;
                     }
-                    let response = self.ask(node, home, workspace, request).await;
+                    let response = self.ask(node, home, quota, request).await;
                     shortest = shorter(shortest, response);
                 }
             }
         }
-        let wait = match self.attempt(node, workspace, &homes, units) {
+        let wait = match self.attempt(node, quota, homes, units) {
             Attempt::Taken => return Ok(()),
             Attempt::Denied(wait) => wait,
             Attempt::Ask(_, own) => shorter(shortest, own).unwrap_or(UNKNOWN_WAIT),
         };
-        self.with(node, workspace, &homes, |share, now| {
+        self.with(node, quota, homes, |share, now| {
             let (Share::Home(_, balance) | Share::Granted(balance)) = share;
             balance.denied(wait, now);
         });
-        Err(self.refuse(node, workspace, call, units, wait))
-    }
-
-    fn expect(&self, node: &Node, workspace: &Workspace, homes: &[Home], units: f64) {
-        self.with(node, workspace, homes, |share, now| {
-            if let Share::Granted(balance) = share {
-                balance.expect(units, now);
-            }
-        });
+        Err(wait)
     }
 
-    fn attempt(&self, node: &Node, workspace: &Workspace, homes: &[Home], units: f64) -> Attempt {
-        self.with(node, workspace, homes, |share, now| match share {
+    fn attempt(&self, node: &Node, quota: &Quota, homes: &[Home], units: f64) -> Attempt {
+        self.with(node, quota, homes, |share, now| match share {
             Share::Home(allowance, balance) => match allowance.take(units, now) {
                 Ok(()) => Attempt::Taken,
                 Err(wait) => match balance.denial(now) {
@@ -142,15 +252,15 @@
     }
 
     /// Asks for the units of expected requests, without waiting.
-    fn ask_ahead(&self, node: &Node, workspace: &Workspace, homes: &[Home]) {
-        let request = self.with(node, workspace, homes, |share, now| match share {
+    fn ask_ahead(&self, node: &Node, quota: &Quota, homes: &[Home]) {
+        let request = self.with(node, quota, homes, |share, now| match share {
             Share::Home(..) => None,
             Share::Granted(balance) => balance.request_ahead(now),
         });
         let address = homes.first().and_then(|home| home.address);
         if let Some((request, address)) = request.zip(address) {
             let id = self.next_id();
-            peers::send(node, Body::Ask(message(id, workspace, request)), address);
+            peers::send(node, Body::Ask(message(id, quota, request)), address);
         }
     }
 
@@ -159,7 +269,7 @@
         &self,
         node: &Node,
         home: &Home,
-        workspace: &Workspace,
+        quota: &Quota,
         request: Request,
     ) -> Option<Duration> {
         let address = home.address?;
@@ -175,12 +285,12 @@
         let id = self.next_id();
         let (sender, receiver) = oneshot::channel();
         self.pending.lock().insert(id, sender);
-        peers::send(node, Body::Ask(message(id, workspace, request)), address);
+        peers::send(node, Body::Ask(message(id, quota, request)), address);
         let response = timeout(ASK_TIMEOUT, receiver).await;
         self.pending.lock().remove(&id);
         let Ok(Ok(grant)) = response else {
             node.journal.line(
-                || spdlog::info!("limits: home is silent", kv: { workspace: = workspace.name, home: = home.daemon }),
+                || spdlog::info!("limits: home is silent", kv: { subject:? = quota.subject, home: = home.daemon }),
             );
             let until = node.now() + SILENCE_PAUSE;
             self.silent.lock().insert(home.daemon.clone(), until);
@@ -191,17 +301,23 @@
 
     /// Answers another daemon's request for units.
     pub fn grant(&self, node: &Node, ask: &Ask) -> Option<Grant> {
-        let catalog = node.fleet.catalog.load();
-        let workspace = catalog.as_ref()?.workspaces.get(&ask.workspace)?;
-        let homes = node.peers.homes(&node.settings, &workspace.name);
-        let granted = self.with(node, workspace, &homes, |share, now| match share {
-            Share::Home(allowance, _) => allowance.grant(ask.needed as f64, ask.ahead as f64, now),
-            Share::Granted(_) => Err(UNKNOWN_WAIT),
-        });
+        let granted = match (Quota::find(node, &ask.subject), &ask.subject) {
+            (None, Subject::Workspace(_)) => return None,
+            // An endpoint's limit was withdrawn, or this daemon has not heard of it yet.
+            (None, Subject::Endpoint(_)) => Err(UNKNOWN_WAIT),
+            (Some(quota), _) => {
+                let homes = quota.homes(node);
+                let (needed, ahead) = (ask.needed as f64, ask.ahead as f64);
+                self.with(node, &quota, &homes, |share, now| match share {
+                    Share::Home(allowance, _) => allowance.grant(needed, ahead, now),
+                    Share::Granted(_) => Err(UNKNOWN_WAIT),
+                })
+            }
+        };
         let wait = granted.as_ref().err().copied().unwrap_or_default();
         Some(Grant {
             id: ask.id,
-            workspace: ask.workspace.clone(),
+            subject: ask.subject.clone(),
             units: granted.unwrap_or_default() as u64,
             wait_millis: wait.as_millis() as u64,
         })
@@ -209,24 +325,22 @@
 
     /// Adds the units of a home's response and wakes the request that waits for them.
     pub fn granted(&self, node: &Node, grant: Grant) {
-        self.returned(node, &grant.workspace, grant.units);
+        self.returned(node, &grant.subject, grant.units as f64);
         if let Some(waiting) = self.pending.lock().remove(&grant.id) {
             // The request may have stopped waiting; its units stay with this daemon.
             let _ = waiting.send(grant);
         }
     }
 
-    /// Adds units that another daemon deducted.
-    pub fn returned(&self, node: &Node, workspace: &Name, units: u64) {
-        let catalog = node.fleet.catalog.load();
-        let workspace = catalog.as_ref().and_then(|it| it.workspaces.get(workspace));
-        let Some(workspace) = workspace.filter(|_| units > 0) else {
+    /// Adds units that another daemon deducted, or that were taken for a request that was not sent.
+    pub fn returned(&self, node: &Node, subject: &Subject, units: f64) {
+        let Some(quota) = Quota::find(node, subject).filter(|_| units > 0.0) else {
             return;
         };
-        let homes = node.peers.homes(&node.settings, &workspace.name);
-        self.with(node, workspace, &homes, |share, now| match share {
-            Share::Home(allowance, _) => allowance.transfer_in(units as f64, now),
-            Share::Granted(balance) => balance.receive(units as f64, now),
+        let homes = quota.homes(node);
+        self.with(node, &quota, &homes, |share, now| match share {
+            Share::Home(allowance, _) => allowance.transfer_in(units, now),
+            Share::Granted(balance) => balance.receive(units, now),
         });
     }
 
@@ -234,10 +348,11 @@
     pub fn return_surplus(&self, node: &Node) {
         let now = node.now();
         let mut surplus = Vec::new();
-        for (name, share) in self.shares.lock().iter_mut() {
+        for (subject, share) in self.shares.lock().iter_mut() {
             if let Share::Granted(balance) = share {
                 let units = balance.surplus(now);
-                if units >= 1.0 {
+                // Units of an endpoint that came too late are dropped, as its limit does not last.
+                if let (Subject::Workspace(name), true) = (subject, units >= 1.0) {
                     surplus.push((name.clone(), units as u64));
                 }
             }
@@ -258,10 +373,17 @@
         if workspace.rate <= 0.0 {
             return;
         }
-        let homes = node.peers.homes(&node.settings, &workspace.name);
-        self.with(node, workspace, &homes, |share, now| match share {
-            Share::Home(allowance, _) => allowance.refund(admission.units),
-            Share::Granted(balance) => balance.receive(admission.units, now),
+        let subject = Subject::Workspace(workspace.name.clone());
+        self.returned(node, &subject, admission.units);
+    }
+
+    /// Forgets the shares of endpoints whose limits are not known any more.
+    pub fn prune(&self, node: &Node) {
+        let statements = node.statements.lock();
+        let mut shares = self.shares.lock();
+        shares.retain(|subject, _| match subject {
+            Subject::Workspace(_) => true,
+            Subject::Endpoint(id) => statements.rate_limit(id).is_some(),
         });
     }
 
@@ -274,7 +396,8 @@
         wait: Duration,
     ) -> Refusal {
         node.journal.line(|| {
-            let share = self.shares.lock().get(&workspace.name).cloned();
+            let subject = Subject::Workspace(workspace.name.clone());
+            let share = self.shares.lock().get(&subject).cloned();
             spdlog::info!("limits: over rate", kv: {
                 request: = call.id,
                 workspace: = workspace.name,
@@ -289,18 +412,18 @@
         }
     }
 
-    /// Applies a function to this daemon's share of a workspace's limit, after adapting it to the current homes.
+    /// Applies a function to this daemon's share of a limit, after adapting it to the current homes.
     fn with<T>(
         &self,
         node: &Node,
-        workspace: &Workspace,
+        quota: &Quota,
         homes: &[Home],
         apply: impl FnOnce(&mut Share, Duration) -> T,
     ) -> T {
         let now = node.now();
         let terms = Terms {
-            rate: workspace.rate,
-            burst: workspace.burst,
+            rate: quota.rate,
+            burst: quota.burst,
             daemons: homes.len(),
         };
         let is_home = homes.first().is_none_or(|home| home.address.is_none());
@@ -309,7 +432,7 @@
             true => Share::Home(Allowance::open(terms, now), Balance::default()),
             false => Share::Granted(Balance::default()),
         };
-        let share = shares.entry(workspace.name.clone()).or_insert_with(open);
+        let share = shares.entry(quota.subject.clone()).or_insert_with(open);
         // A former home keeps nothing: the new one fills its own bucket.
         if matches!(share, Share::Home(..)) != is_home {
             *share = open();
@@ -325,10 +448,10 @@
     }
 }
 
-fn message(id: u64, workspace: &Workspace, request: Request) -> Ask {
+fn message(id: u64, quota: &Quota, request: Request) -> Ask {
     Ask {
         id,
-        workspace: workspace.name.clone(),
+        subject: quota.subject.clone(),
         needed: request.needed.ceil() as u64,
         ahead: request.ahead.ceil() as u64,
     }
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -51,6 +51,8 @@
     pub crashes: Counter,
     /// Groups of prompt parts whose requests are refused.
     pub held_parts: Gauge,
+    /// Requests that were not sent to an endpoint because it takes no more.
+    pub limited: Counter,
     /// Endpoints that have named a limit.
     pub limited_endpoints: Gauge,
     /// Streams that completed but were not on time.
@@ -90,6 +92,7 @@
             moves: metric::register(registry, "moves", "Moves of streams from silent endpoints"),
             crashes: metric::register(registry, "crashes", "Responses cut at their start"),
             held_parts: metric::register(registry, "held_parts", "Groups of prompt parts refused"),
+            limited: metric::register(registry, "limited", "Sends that a limit prevented"),
             limited_endpoints: metric::register(
                 registry,
                 "limited_endpoints",
--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use super::{LONGEST_LAG, MAX_LAG, Peer, apply_holdings, send, source, update_remote_in_flight};
-use crate::protocol::digest::{Ask, Body, Digest, Registration, State};
+use crate::protocol::digest::{Ask, Body, Digest, Registration, State, Subject};
 use crate::serving::feed::Table;
-use crate::serving::{Node, quarantine};
+use crate::serving::{Node, quarantine, statement};
 use crate::transport::gossip::MAX_BYTES;
 
 /// Time for which this daemon's feed may fail before it relies on what peers report.
@@ -64,7 +64,7 @@
         peer.sequence = digest.sequence;
         peer.last_heard = now;
         let before = match &digest.body {
-            Body::State(state) => Some(std::mem::replace(&mut peer.state, state.clone())),
+            Body::State(state) => Some(std::mem::replace(&mut peer.state, (**state).clone())),
             _ => None,
         };
         (peer.registration.clone(), before)
@@ -75,13 +75,15 @@
                 update_remote_in_flight(node, &before.flights, &state.flights);
             }
             catch_up(node, &state, &registration, now);
+            statement::adopt(node, &state.statements, now);
             quarantine::adopt(node, state.holds, registration.gossip);
         }
         Body::Ask(ask) => answer_ask(node, &ask, from),
         Body::Grant(grant) => node.limits.granted(node, grant),
         Body::Given(given) => {
             for (workspace, units) in given {
-                node.limits.returned(node, &workspace, units);
+                let subject = Subject::Workspace(workspace);
+                node.limits.returned(node, &subject, units as f64);
             }
         }
         Body::Demand(demand) => node.placer.record_demand(&demand, now),
@@ -89,6 +91,7 @@
         Body::Held(holdings) => apply_holdings(node, holdings, now),
         Body::Crashed(occurrence) => quarantine::record(node, occurrence),
         Body::Sound(parts) => quarantine::clear(node, &parts),
+        Body::Stated(statements) => statement::adopt(node, &statements, now),
     }
 }
 
--- a/src/serving/peers/sender.rs
+++ b/src/serving/peers/sender.rs
@@ -70,10 +70,10 @@
     } else if let Some((_, address)) = node.peers.placer(now) {
         send(node, Body::Demand(demand), address);
     }
-    let state = Body::State(State {
+    let state = Body::State(Box::new(State {
         registration: to_all.then(|| Peers::registration(node)),
         ..current_state(node)
-    });
+    }));
     match to_all {
         true => broadcast(node, state),
         false => broadcast_in_zone(node, state),
@@ -99,6 +99,7 @@
         placing: node.placer.fence(node),
         registration: None,
         holds: quarantine::holds(node),
+        statements: node.statements.lock().report(node.now()),
         leaving: node.leaving.is_cancelled(),
     }
 }
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -124,7 +124,7 @@
         return Err(Refusal::busy("turned_away", FULL_PAUSE * 3));
     }
     loop {
-        let cause = match ctx.choose() {
+        let cause = match ctx.choose().await {
             Ok(choice) => return Ok(choice),
             Err(cause) => cause,
         };
@@ -177,7 +177,7 @@
         Unavailable::Paused => Duration::from_millis(400),
         Unavailable::Retry | Unavailable::Attempts => FULL_PAUSE,
         Unavailable::Quarantine => quarantine::held(node, &ctx.call).unwrap_or(FULL_PAUSE),
-        Unavailable::Cold | Unavailable::Full => {
+        Unavailable::Limited | Unavailable::Cold | Unavailable::Full => {
             // Spread so that callers do not retry at the same time.
             let jitter = (node.now().subsec_micros() % 1000) + 500;
             Duration::from_millis(u64::from(jitter))
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -220,13 +220,19 @@
     ///
     /// # Errors
     /// The reason why the request can't be sent now.
-    pub fn choose(&self) -> Result<Choice, Unavailable> {
+    pub async fn choose(&self) -> Result<Choice, Unavailable> {
         let is_probe = self.is_probe && self.delivered == 0;
         if !is_probe && quarantine::held(&self.node, &self.call).is_some() {
             return Err(Unavailable::Quarantine);
         }
-        let choice = choose::choose(&self.node, &self.admission, &self.call, &self.tried)?;
+        let choice = loop {
+            let choice = choose::choose(&self.node, &self.admission, &self.call, &self.tried)?;
+            if statement::reserve(&self.node, &choice.endpoint).await {
+                break choice;
+            }
+        };
         if !self.take_retry() {
+            statement::release(&self.node, &choice.endpoint);
             return Err(Unavailable::Retry);
         }
         choice.record(self.node.now());
@@ -237,9 +243,13 @@
     /// counts as run there. `resume_after` is the event after which a stream resumes.
     pub async fn open(&mut self, choice: &Choice, resume_after: Option<u64>) -> Option<Pending> {
         let flight = InFlight::open(&choice.endpoint.tracker, choice.uncached_tokens);
-        let mut connection = self.connect(choice).await?;
+        let Some(mut connection) = self.connect(choice).await else {
+            statement::release(&self.node, &choice.endpoint);
+            return None;
+        };
         if self.is_out_of_time() {
             // The deadline has passed while the connection was opened, or while this process did not run.
+            statement::release(&self.node, &choice.endpoint);
             return None;
         }
         let now = self.node.now();
@@ -321,6 +331,7 @@
                 self.delivered -= 1;
                 let id = &choice.endpoint.entry.id;
                 self.tried.retain(|tried| tried != id);
+                statement::release(&self.node, &choice.endpoint);
                 Outcome::Unsent
             }
             Err(error) => {
--- a/src/serving/statement.rs
+++ b/src/serving/statement.rs
@@ -1,11 +1,20 @@
-//! Records what endpoints state about themselves in their responses.
+//! Records what endpoints state about themselves in their responses, tells peers, and keeps to it.
 
 use std::time::Duration;
 
-use super::Node;
+use super::endpoint::Endpoint;
+use super::{Node, peers};
+use crate::coordination::statement::Heard;
+use crate::protocol::digest::{Body, Subject};
 use crate::state::call::Head;
 use crate::state::record::Name;
 
+/// Shortest time for which an endpoint that takes no more requests is excluded.
+const MIN_EXCLUSION: Duration = Duration::from_millis(10);
+
+/// Longest time for which an endpoint that takes no more requests is excluded; its limit may change at any time.
+const MAX_EXCLUSION: Duration = Duration::from_millis(250);
+
 /// Records what the head of an endpoint's response states.
 pub fn observe(node: &Node, endpoint: &Name, head: &Head) {
     let is_another = head.endpoint.as_ref().is_some_and(|id| id != endpoint);
@@ -19,17 +28,65 @@
     };
     if is_news {
         log(endpoint, head.rate_limit, "response");
+        let heard = Heard {
+            endpoint: endpoint.clone(),
+            rate_limit: head.rate_limit,
+            age_millis: 0,
+        };
+        peers::broadcast(node, Body::Stated(vec![heard]));
     }
 }
 
+/// Adopts what a peer has heard.
+pub fn adopt(node: &Node, statements: &[Heard], now: Duration) {
+    for heard in statements {
+        let is_news = node.statements.lock().adopt(heard, now);
+        if is_news {
+            log(&heard.endpoint, heard.rate_limit, "peer");
+        }
+    }
+}
+
+/// Takes one request of what an endpoint takes; if it takes no more now, returns false and excludes the endpoint until it
+/// is expected to.
+pub async fn reserve(node: &Node, endpoint: &Endpoint) -> bool {
+    let id = &endpoint.entry.id;
+    let rate_limit = node.statements.lock().rate_limit(id);
+    let Some(rate_limit) = rate_limit else {
+        return true;
+    };
+    let Err(wait) = node.limits.take_endpoint(node, id, rate_limit).await else {
+        return true;
+    };
+    let wait = wait.clamp(MIN_EXCLUSION, MAX_EXCLUSION);
+    endpoint.tracker.lock().limited_until = node.now() + wait;
+    node.meter.limited.inc();
+    node.journal.line(|| {
+        spdlog::info!("endpoints: limit reached", kv: {
+            endpoint: = id,
+            per_second = rate_limit,
+            excluded_ms = wait.as_millis() as u64,
+        });
+    });
+    false
+}
+
+/// Returns a request that was reserved and not sent.
+pub fn release(node: &Node, endpoint: &Endpoint) {
+    let subject = Subject::Endpoint(endpoint.entry.id.clone());
+    node.limits.returned(node, &subject, 1.0);
+}
+
 /// Forgets endpoints that are gone and limits that were withdrawn long ago.
 pub fn sweep(node: &Node, now: Duration) {
     let view = node.fleet.view.load();
-    let mut statements = node.statements.lock();
-    statements.prune(|endpoint| view.all.contains_key(endpoint), now);
-    node.meter
-        .limited_endpoints
-        .set(statements.limited() as i64);
+    let limited = {
+        let mut statements = node.statements.lock();
+        statements.prune(|endpoint| view.all.contains_key(endpoint), now);
+        statements.limited()
+    };
+    node.meter.limited_endpoints.set(limited as i64);
+    node.limits.prune(node);
 }
 
 fn log(endpoint: &Name, rate_limit: Option<f64>, source: &'static str) {
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -358,7 +358,7 @@
         {
             return;
         }
-        let Ok(choice) = ctx.choose() else {
+        let Ok(choice) = ctx.choose().await else {
             return;
         };
         let until = ctx.node.now() + patience;
@@ -483,7 +483,7 @@
                 return Err("out_of_time");
             }
             if self.ctx.all_late(&mut pending) {
-                match self.next_endpoint(attempts) {
+                match self.next_endpoint(attempts).await {
                     Ok(choice) => {
                         attempts += 1;
                         pending.extend(self.ctx.open(&choice, last).await);
@@ -514,11 +514,11 @@
     }
 
     /// Chooses the endpoint at which a broken stream is to resume and takes the retry that this needs.
-    fn next_endpoint(&self, attempts: usize) -> Result<Choice, Unavailable> {
+    async fn next_endpoint(&mut self, attempts: usize) -> Result<Choice, Unavailable> {
         if attempts >= MAX_RESUMES || !self.ctx.can_retry() {
             return Err(Unavailable::Attempts);
         }
-        let choice = self.ctx.choose();
+        let choice = self.ctx.choose().await;
         if let Err(Unavailable::Adapter) = choice {
             self.ctx.node.demand.want(&self.ctx.call);
         }
