Plan copies beside engines that have named a limit

A model whose only copy stands on an engine that takes a few requests a second was refused beyond that, while other engines had room: the placer counted the copy like any other. Copies on such engines no longer count as those that a model should have, and nothing more is loaded there. The naive planner of the differential test has the same rule.

--- a/src/coordination/replication/index.rs
+++ b/src/coordination/replication/index.rs
@@ -13,7 +13,7 @@
 struct ModelIndex<'a> {
     name: &'a Name,
     model: &'a Model,
-    /// Usable copies, including those being loaded.
+    /// Available copies, including those being loaded.
     copies: usize,
     /// Copies that the model should have.
     target: usize,
@@ -74,7 +74,7 @@
         for engine in &planner.engines {
             let engine = engine_index(engine, &names, &positions, &zones, largest_adapter);
             for held in engine.held.iter().filter_map(|held| held.model) {
-                index.models[held].copies += usize::from(engine.engine.usable);
+                index.models[held].copies += usize::from(engine.engine.is_available());
                 index.models[held].zone_copies[engine.zone] += 1;
             }
             index.engines.push(engine);
@@ -149,7 +149,7 @@
     fn place_copy(&self, model: usize, store: bool, needed: bool) -> Option<Step> {
         let megabytes = self.models[model].model.megabytes;
         let eligible = self.engines.iter().filter(|it| {
-            it.engine.usable
+            it.engine.is_available()
                 && !it.engine.busy
                 && !it.holds[model]
                 && it.engine.megabytes >= megabytes
@@ -234,8 +234,8 @@
     names: &[(&'a Name, &'a Model)],
     zones: usize,
 ) -> Vec<ModelIndex<'a>> {
-    let usable = planner.engines.iter().filter(|engine| engine.usable);
-    let (count, max_adapters) = usable.fold((0, 0), |(count, most), engine| {
+    let available = planner.engines.iter().filter(|it| it.is_available());
+    let (count, max_adapters) = available.fold((0, 0), |(count, most), engine| {
         (count + 1, engine.max_adapters.max(most))
     });
     let copies_for_load = |model: &Model, load_per_copy: f64| {
--- a/src/coordination/replication/mod.rs
+++ b/src/coordination/replication/mod.rs
@@ -52,6 +52,15 @@
     pub busy: bool,
     /// Whether requests can be sent to it.
     pub usable: bool,
+    /// Whether it has named a limit of requests, so that its copies may serve only a part of the demand.
+    pub limited: bool,
+}
+
+impl Engine {
+    /// Whether its copies count as those that a model should have.
+    fn is_available(&self) -> bool {
+        self.usable && !self.limited
+    }
 }
 
 /// Memory and demand of a model.
@@ -92,9 +101,9 @@
 }
 
 impl Planner {
-    /// Number of usable copies of a model, including those being loaded.
+    /// Number of available copies of a model, including those being loaded.
     pub fn copies(&self, model: &str) -> usize {
-        let held = self.engines.iter().filter(|engine| engine.usable);
+        let held = self.engines.iter().filter(|engine| engine.is_available());
         let held = held.filter(|engine| engine.models.contains_key(model));
         let loading = self.loading.iter().filter(|(_, name)| &**name == model);
         held.count() + loading.count()
--- a/src/serving/inventory.rs
+++ b/src/serving/inventory.rs
@@ -9,6 +9,7 @@
 use super::rate::Rate;
 use crate::coordination::replication::adapters::{Copies, Placement, place_adapter};
 use crate::coordination::replication::{Engine, MAX_LOAD_PER_COPY, Model, Planner};
+use crate::coordination::statement::Statements;
 use crate::protocol::digest::{Demand, Holding};
 use crate::state::catalog::{self, Service};
 use crate::state::record::Name;
@@ -168,7 +169,13 @@
     }
 
     /// Input of the planner.
-    pub fn planner(&mut self, view: &View, service: &Service, now: Duration) -> Planner {
+    pub fn planner(
+        &mut self,
+        view: &View,
+        service: &Service,
+        statements: &Statements,
+        now: Duration,
+    ) -> Planner {
         let Some(engine) = &service.engine else {
             return Planner::default();
         };
@@ -226,6 +233,7 @@
                 cached: state.cached.clone(),
                 busy: state.has_to_wait(now),
                 usable: usable.contains(id),
+                limited: statements.rate_limit(id).is_some(),
             })
         });
         let loading = self
--- a/src/serving/placer/plan.rs
+++ b/src/serving/placer/plan.rs
@@ -41,7 +41,7 @@
         .values()
         .filter(|service| service.engine.is_some());
     for service in engines {
-        let mut planner = inventory.planner(&view, service, now);
+        let mut planner = inventory.planner(&view, service, &node.statements.lock(), now);
         plan_adapters(node, &mut inventory, &mut planner, service, now);
         plan_models(node, &mut inventory, &mut planner, service, now);
     }
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -45,6 +45,28 @@
     }
 }
 
+/// Guards against models whose only copy stands on an engine that takes few requests, while others have room.
+#[test]
+fn model_on_an_engine_in_need_gets_a_copy_elsewhere() {
+    let mut in_need = engine(0, 80.0, &["m1"]);
+    in_need.limited = true;
+    let engines = vec![in_need, engine(1, 80.0, &["m2"])];
+    let planner = planner(engines, &[("m1", 40.0, 0.05), ("m2", 30.0, 0.05)]);
+    let step = planner.step(true, false).unwrap();
+    assert_eq!(
+        (&*step.engine, &*step.load, step.unload.len()),
+        ("e1", "m1", 0)
+    );
+}
+
+#[test]
+fn engine_in_need_gets_no_further_models() {
+    let mut in_need = engine(0, 80.0, &[]);
+    in_need.limited = true;
+    let planner = planner(vec![in_need], &[("m1", 40.0, 0.05)]);
+    assert!(planner.step(true, true).is_none());
+}
+
 /// Applies a step at once.
 fn apply(planner: &mut Planner, step: &Step) {
     let engine = planner
--- a/tests/replication_differential.rs
+++ b/tests/replication_differential.rs
@@ -32,9 +32,12 @@
         let Some(model) = self.models.get(name) else {
             return 0;
         };
-        let usable = || self.engines.iter().filter(|engine| engine.usable);
+        let available = || {
+            let engines = self.engines.iter();
+            engines.filter(|engine| engine.usable && !engine.limited)
+        };
         let by_load = (model.load / load_per_copy).ceil() as usize;
-        let max_adapters = usable()
+        let max_adapters = available()
             .map(|engine| engine.max_adapters)
             .max()
             .unwrap_or(0)
@@ -43,7 +46,7 @@
             (model.adapters as f64 * CAPACITY_PER_ADAPTER / max_adapters as f64).ceil() as usize;
         let min_copies = if model.load >= REDUNDANCY_LOAD { 2 } else { 1 };
         let copies = by_load.max(by_adapters).max(min_copies);
-        copies.min(usable().count().max(1))
+        copies.min(available().count().max(1))
     }
 
     fn step(&self, store: bool, spare: bool) -> Option<Step> {
@@ -85,6 +88,7 @@
         let model = self.models.get(name)?;
         let eligible = self.engines.iter().filter(|engine| {
             engine.usable
+                && !engine.limited
                 && !engine.busy
                 && !engine.models.contains_key(name)
                 && engine.megabytes >= model.megabytes
@@ -225,6 +229,7 @@
             cached: [name(cached % 10), name(held % 10)].into(),
             busy: flags.is_multiple_of(5),
             usable: !flags.is_multiple_of(7),
+            limited: flags % 9 == 4,
         }
     });
     let models = loads.iter().take(9).enumerate().map(|(number, load)| {
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use persimmoncroft::coordination::statement::Statements;
 use persimmoncroft::protocol::digest::Demand;
 use persimmoncroft::serving::codec::Report;
 use persimmoncroft::serving::endpoint::{Endpoint, Tracker, View};
@@ -161,7 +162,7 @@
     let e1 = inventory.handle(&"e1".into()).unwrap();
     assert!(!inventory.read(&e1, report(11, &["m1"], true), now));
     inventory.engine_mut(&e1).unwrap().busy = false;
-    let planner = inventory.planner(&view, &services["models"], now);
+    let planner = inventory.planner(&view, &services["models"], &Statements::default(), now);
     let engine = planner
         .engines
         .iter()
@@ -269,7 +270,7 @@
     state.sequence = Some(5);
     state.start_unloading(&"m1".into(), &"a1".into());
     let remaining_adapters = |inventory: &mut Inventory| {
-        let planner = inventory.planner(&view, &services["models"], now);
+        let planner = inventory.planner(&view, &services["models"], &Statements::default(), now);
         let engine = planner.engines.iter().find(|engine| &*engine.id == "e1");
         let engine = engine.unwrap();
         let held: usize = engine.models.values().map(|adapters| adapters.len()).sum();
@@ -312,7 +313,8 @@
         let tokens = [("m1", batch), ("m2", 4000)];
         report_demand(&mut inventory, tokens, now);
         if step > 40 {
-            let planner = inventory.planner(&view, &services["models"], now);
+            let planner =
+                inventory.planner(&view, &services["models"], &Statements::default(), now);
             max_load = max_load.max(planner.models["m1"].load);
         }
     }
@@ -323,7 +325,10 @@
         let now = Duration::from_millis(40_000 + step * 400);
         let tokens = [("m3", 2000 * step), ("m2", 4000)];
         report_demand(&mut inventory, tokens, now);
-        rising_load = inventory.planner(&view, &services["models"], now).models["m3"].load;
+        rising_load = inventory
+            .planner(&view, &services["models"], &Statements::default(), now)
+            .models["m3"]
+            .load;
     }
     let last = 2000.0 * 7.0 / 0.4 / 38_000.0;
     assert!(rising_load > last * 0.8, "{rising_load} of {last}");
