Send nothing more to an endpoint whose answer says that it leaves

Now the daemon that passes such an answer on uses the endpoint no more, at once, and tells its peers, which do the same; heartbeats repeat it, so daemons that start later hear of it. It holds until the endpoint starts anew, whatever its entry says or an older answer said. Requests that had chosen the endpoint and were not sent choose anew. The placer counts its copies no more.

--- a/src/coordination/replication/mod.rs
+++ b/src/coordination/replication/mod.rs
@@ -52,7 +52,7 @@
     pub busy: bool,
     /// Whether requests can be sent to it.
     pub usable: bool,
-    /// Whether it has named a limit of requests, so that its copies may serve only a part of the demand.
+    /// Whether it has named a limit of requests or said that it leaves, so that its copies may not serve the demand.
     pub limited: bool,
 }
 
--- a/src/coordination/statement.rs
+++ b/src/coordination/statement.rs
@@ -1,7 +1,7 @@
 //! What endpoints state about themselves in their responses, as this daemon and its peers have heard it.
 //!
 //! The latest statement about an endpoint holds, whichever daemon heard it, until a response states something else. A
-//! response without a limit withdraws the limit.
+//! response without a limit withdraws the limit; that an endpoint leaves holds until it starts anew.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -22,15 +22,29 @@
 /// Maximum number of statements in one message.
 const MAX_REPORTED: usize = 64;
 
+/// What a response states about its endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize, Serialize)]
+pub struct Said {
+    /// Requests per second that the endpoint takes from all daemons together; `None` if it takes any number.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub rate_limit: Option<f64>,
+    /// Whether the endpoint leaves.
+    #[serde(rename = "g", default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+}
+
 /// A statement, for peers.
 #[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
 pub struct Heard {
     /// Identifier of the endpoint.
     #[serde(rename = "e")]
     pub endpoint: Name,
-    /// Requests per second that it takes from all daemons together; `None` if it takes any number.
-    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
-    pub rate_limit: Option<f64>,
+    /// Unix time at which the endpoint started, in milliseconds, if known.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    pub started_ms: Option<u64>,
+    /// What the response stated.
+    #[serde(flatten)]
+    pub said: Said,
     /// Time since a response stated this, in milliseconds.
     #[serde(rename = "a", default)]
     pub age_millis: u64,
@@ -38,7 +52,8 @@
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Statement {
-    rate_limit: Option<f64>,
+    started_ms: Option<u64>,
+    said: Said,
     heard_at: Duration,
 }
 
@@ -46,15 +61,16 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use persimmoncroft::coordination::statement::Statements;
+/// use persimmoncroft::coordination::statement::{Said, Statements};
 /// let (mut one, mut other) = (Statements::default(), Statements::default());
 /// let second = Duration::from_secs(1);
-/// assert!(one.observe(&"e1".into(), Some(6.0), second));
+/// let limited = Said { rate_limit: Some(6.0), leaving: false };
+/// assert!(one.observe(&"e1".into(), None, limited, second));
 /// for heard in one.report(second) {
 ///     other.adopt(&heard, second);
 /// }
 /// assert_eq!(other.rate_limit("e1"), Some(6.0));
-/// assert!(other.observe(&"e1".into(), None, second * 2));
+/// assert!(other.observe(&"e1".into(), None, Said::default(), second * 2));
 /// assert_eq!(other.rate_limit("e1"), None);
 /// ```
 #[derive(Debug, Default)]
@@ -63,47 +79,84 @@
 }
 
 impl Statements {
-    /// Records what a response of an endpoint stated; returns whether peers should hear of it at once.
-    pub fn observe(&mut self, endpoint: &Name, rate_limit: Option<f64>, now: Duration) -> bool {
-        if rate_limit.is_none() && !self.by_endpoint.contains_key(endpoint) {
+    /// Records what a response of an endpoint, which started at `started_ms`, stated; returns whether peers should hear of
+    /// it at once.
+    pub fn observe(
+        &mut self,
+        endpoint: &Name,
+        started_ms: Option<u64>,
+        said: Said,
+        now: Duration,
+    ) -> bool {
+        if said == Said::default() && !self.by_endpoint.contains_key(endpoint) {
             return false;
         }
-        self.record(endpoint, rate_limit, now)
+        let statement = Statement {
+            started_ms,
+            said,
+            heard_at: now,
+        };
+        self.record(endpoint, statement)
     }
 
     /// Adopts what a peer has heard, unless this daemon knows something later; returns whether that changed much.
     pub fn adopt(&mut self, heard: &Heard, now: Duration) -> bool {
         let age = Duration::from_millis(heard.age_millis) + HOP_DELAY;
-        let heard_at = now.saturating_sub(age);
-        let known = self.by_endpoint.get(&heard.endpoint);
-        if known.is_some_and(|known| known.heard_at >= heard_at) {
-            return false;
+        let mut statement = Statement {
+            started_ms: heard.started_ms,
+            said: heard.said,
+            heard_at: now.saturating_sub(age),
+        };
+        if let Some(known) = self.by_endpoint.get(&heard.endpoint)
+            && known.heard_at >= statement.heard_at
+        {
+            let is_new = heard.said.leaving && !known.said.leaving;
+            if !is_new || known.started_ms != heard.started_ms {
+                return false;
+            }
+            statement = *known;
+            statement.said.leaving = true;
         }
-        self.record(&heard.endpoint, heard.rate_limit, heard_at)
+        self.record(&heard.endpoint, statement)
     }
 
-    fn record(&mut self, endpoint: &Name, rate_limit: Option<f64>, heard_at: Duration) -> bool {
-        let statement = Statement {
-            rate_limit,
-            heard_at,
-        };
-        let before = self.by_endpoint.insert(endpoint.clone(), statement);
-        match (before.and_then(|before| before.rate_limit), rate_limit) {
+    fn record(&mut self, endpoint: &Name, mut statement: Statement) -> bool {
+        let before = self.by_endpoint.get(endpoint);
+        let before = before.filter(|before| before.started_ms == statement.started_ms);
+        let before = before.map_or_else(Said::default, |before| before.said);
+        statement.said.leaving |= before.leaving;
+        self.by_endpoint.insert(endpoint.clone(), statement);
+        let said = statement.said;
+        let is_limit_news = match (before.rate_limit, said.rate_limit) {
             (None, None) => false,
             (Some(before), Some(after)) => (after - before).abs() > before * MINOR_CHANGE,
             _ => true,
-        }
+        };
+        is_limit_news || said.leaving != before.leaving
+    }
+
+    /// Whether an endpoint that started at `started_ms` has said that it leaves.
+    pub fn is_leaving(&self, endpoint: &str, started_ms: Option<u64>) -> bool {
+        let statement = self.by_endpoint.get(endpoint);
+        statement.is_some_and(|it| it.said.leaving && it.started_ms == started_ms)
     }
 
     /// Requests per second that an endpoint takes from all daemons together, if it has named a limit.
     pub fn rate_limit(&self, endpoint: &str) -> Option<f64> {
-        self.by_endpoint.get(endpoint)?.rate_limit
+        self.by_endpoint.get(endpoint)?.said.rate_limit
+    }
+
+    /// Endpoints that have said that they leave.
+    pub fn leaving(&self) -> impl Iterator<Item = &Name> {
+        let statements = self.by_endpoint.iter();
+        let leaving = statements.filter(|(_, statement)| statement.said.leaving);
+        leaving.map(|(endpoint, _)| endpoint)
     }
 
     /// Number of endpoints that have named a limit.
     pub fn limited(&self) -> usize {
         let statements = self.by_endpoint.values();
-        statements.filter(|it| it.rate_limit.is_some()).count()
+        statements.filter(|it| it.said.rate_limit.is_some()).count()
     }
 
     /// Statements for peers, latest first.
@@ -113,7 +166,8 @@
         let statements = statements.into_iter().take(MAX_REPORTED);
         let heard = statements.map(|(endpoint, statement)| Heard {
             endpoint: endpoint.clone(),
-            rate_limit: statement.rate_limit,
+            started_ms: statement.started_ms,
+            said: statement.said,
             age_millis: now.saturating_sub(statement.heard_at).as_millis() as u64,
         });
         heard.collect()
@@ -123,7 +177,7 @@
     pub fn prune(&mut self, is_known: impl Fn(&Name) -> bool, now: Duration) {
         self.by_endpoint.retain(|endpoint, statement| {
             let is_recent = statement.heard_at + WITHDRAWAL_TIME > now;
-            is_known(endpoint) && (statement.rate_limit.is_some() || is_recent)
+            is_known(endpoint) && (statement.said != Said::default() || is_recent)
         });
     }
 }
--- a/src/serving/choose.rs
+++ b/src/serving/choose.rs
@@ -174,6 +174,9 @@
 ) -> Result<Candidate, Unavailable> {
     let entry = &endpoint.entry;
     let mut state = endpoint.tracker.lock();
+    if state.leaving {
+        return Err(Unavailable::Endpoint);
+    }
     if let Some(generation) = &call.generation {
         check_loaded(&state, generation, now)?;
     }
--- a/src/serving/endpoint.rs
+++ b/src/serving/endpoint.rs
@@ -35,6 +35,8 @@
     pub warmup: Warmup,
     /// Time until which the endpoint is cold.
     pub cold_until: Duration,
+    /// Whether the endpoint has said in a response that it leaves.
+    pub leaving: bool,
     /// Time until which the endpoint takes no more requests under the limit that it has named.
     pub limited_until: Duration,
     /// Models and their adapters, according to the placer or the entry.
--- a/src/serving/inventory.rs
+++ b/src/serving/inventory.rs
@@ -233,7 +233,8 @@
                 cached: state.cached.clone(),
                 busy: state.has_to_wait(now),
                 usable: usable.contains(id),
-                limited: statements.rate_limit(id).is_some(),
+                limited: statements.rate_limit(id).is_some()
+                    || statements.is_leaving(id, endpoint.entry.started_ms),
             })
         });
         let loading = self
--- a/src/serving/placer/order.rs
+++ b/src/serving/placer/order.rs
@@ -45,14 +45,15 @@
 /// Fetches an engine's report.
 pub async fn fetch_report(node: &Node, id: &Name) -> Option<Report> {
     let view = node.fleet.view.load_full();
-    let entry = &view.all.get(id)?.entry;
+    let endpoint = view.all.get(id)?;
+    let entry = &endpoint.entry;
     node.meter.reports.inc();
     let request = (node.codec.ask_report)(entry);
     let mut connection = connect(node, id, entry.address).await?;
     let response = connection.fetch(request, ORDER_TIMEOUT).await.ok()?;
     let (parts, body) = response.into_parts();
     let head = (node.codec.head)(&parts);
-    statement::observe(node, id, &head);
+    statement::observe(node, endpoint, &head);
     let report = (node.codec.report)(&body);
     let reusable = keep_alive(parts.version, &parts.headers);
     node.pool_connection(id, connection, reusable);
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -247,8 +247,9 @@
             statement::release(&self.node, &choice.endpoint);
             return None;
         };
-        if self.is_out_of_time() {
-            // The deadline has passed while the connection was opened, or while this process did not run.
+        let has_left = choice.endpoint.tracker.lock().leaving;
+        if has_left || self.is_out_of_time() {
+            // This has changed while the connection was opened, or while this process did not run.
             statement::release(&self.node, &choice.endpoint);
             return None;
         }
@@ -315,7 +316,7 @@
             Ok(response) => {
                 let (parts, body) = response.into_parts();
                 let head = (self.node.codec.head)(&parts);
-                statement::observe(&self.node, &choice.endpoint.entry.id, &head);
+                statement::observe(&self.node, &choice.endpoint, &head);
                 let exchange = Exchange {
                     endpoint: choice.endpoint.clone(),
                     connection: pending.connection,
--- a/src/serving/statement.rs
+++ b/src/serving/statement.rs
@@ -4,7 +4,7 @@
 
 use super::endpoint::Endpoint;
 use super::{Node, peers};
-use crate::coordination::statement::Heard;
+use crate::coordination::statement::{Heard, Said};
 use crate::protocol::digest::{Body, Subject};
 use crate::state::call::Head;
 use crate::state::record::Name;
@@ -16,21 +16,26 @@
 const MAX_EXCLUSION: Duration = Duration::from_millis(250);
 
 /// Records what the head of an endpoint's response states.
-pub fn observe(node: &Node, endpoint: &Name, head: &Head) {
-    let is_another = head.endpoint.as_ref().is_some_and(|id| id != endpoint);
+pub fn observe(node: &Node, endpoint: &Endpoint, head: &Head) {
+    let entry = &endpoint.entry;
+    let is_another = head.endpoint.as_ref().is_some_and(|id| *id != entry.id);
     if is_another {
         return;
     }
-    let now = node.now();
+    let (said, started_ms) = (head.said, entry.started_ms);
+    if said.leaving {
+        endpoint.tracker.lock().leaving = true;
+    }
     let is_news = {
         let mut statements = node.statements.lock();
-        statements.observe(endpoint, head.rate_limit, now)
+        statements.observe(&entry.id, started_ms, said, node.now())
     };
     if is_news {
-        log(endpoint, head.rate_limit, "response");
+        log(&entry.id, said, "response");
         let heard = Heard {
-            endpoint: endpoint.clone(),
-            rate_limit: head.rate_limit,
+            endpoint: entry.id.clone(),
+            started_ms,
+            said,
             age_millis: 0,
         };
         peers::broadcast(node, Body::Stated(vec![heard]));
@@ -42,7 +47,23 @@
     for heard in statements {
         let is_news = node.statements.lock().adopt(heard, now);
         if is_news {
-            log(&heard.endpoint, heard.rate_limit, "peer");
+            log(&heard.endpoint, heard.said, "peer");
+        }
+    }
+    mark_leaving(node);
+}
+
+/// Takes endpoints out of use that have said to this daemon or a peer that they leave, also those that have become known
+/// since.
+fn mark_leaving(node: &Node) {
+    let view = node.fleet.view.load();
+    let statements = node.statements.lock();
+    for id in statements.leaving() {
+        let Some(endpoint) = view.all.get(id) else {
+            continue;
+        };
+        if statements.is_leaving(id, endpoint.entry.started_ms) {
+            endpoint.tracker.lock().leaving = true;
         }
     }
 }
@@ -87,12 +108,14 @@
     };
     node.meter.limited_endpoints.set(limited as i64);
     node.limits.prune(node);
+    mark_leaving(node);
 }
 
-fn log(endpoint: &Name, rate_limit: Option<f64>, source: &'static str) {
-    spdlog::info!("endpoints: rate limit", kv: {
+fn log(endpoint: &Name, said: Said, source: &'static str) {
+    spdlog::info!("endpoints: stated", kv: {
         endpoint: = endpoint,
-        per_second = rate_limit.unwrap_or(-1.0),
+        limit_per_second = said.rate_limit.unwrap_or(-1.0),
+        leaving = said.leaving,
         source,
     });
 }
--- a/src/state/call.rs
+++ b/src/state/call.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, Method};
 
 use super::record::Name;
+use crate::coordination::statement::Said;
 
 /// A part of a prompt that several requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -136,8 +137,8 @@
     pub endpoint: Option<Name>,
     /// Remaining time of the endpoint's cold start, if stated.
     pub cold: Option<Duration>,
-    /// Requests per second that the endpoint takes from all daemons together, if it names a limit.
-    pub rate_limit: Option<f64>,
+    /// What the endpoint states about itself.
+    pub said: Said,
     /// Whether and how long the connection may be kept for reuse after this response.
     pub keep_alive: KeepAlive,
 }
--- a/tests/statement.rs
+++ b/tests/statement.rs
@@ -4,12 +4,24 @@
 use std::time::Duration;
 
 use persimmoncroft::coordination::allowance::{Allowance, Terms};
-use persimmoncroft::coordination::statement::{Heard, Statements};
+use persimmoncroft::coordination::statement::{Heard, Said, Statements};
 use persimmoncroft::state::record::Name;
 use quickcheck::quickcheck;
 
 const MILLI: Duration = Duration::from_millis(1);
 
+fn limit(rate_limit: f64) -> Said {
+    Said {
+        rate_limit: Some(rate_limit),
+        leaving: false,
+    }
+}
+
+const LEAVING: Said = Said {
+    rate_limit: None,
+    leaving: true,
+};
+
 fn endpoint() -> Name {
     "e1".into()
 }
@@ -18,10 +30,10 @@
 #[test]
 fn older_statement_of_a_peer_does_not_bring_a_withdrawn_limit_back() {
     let (mut one, mut other) = (Statements::default(), Statements::default());
-    assert!(one.observe(&endpoint(), Some(4.0), MILLI * 1000));
+    assert!(one.observe(&endpoint(), None, limit(4.0), MILLI * 1000));
     let late = one.report(MILLI * 1100);
     assert!(other.adopt(&late[0], MILLI * 1100));
-    assert!(other.observe(&endpoint(), None, MILLI * 1200));
+    assert!(other.observe(&endpoint(), None, Said::default(), MILLI * 1200));
     assert!(!other.adopt(&one.report(MILLI * 1210)[0], MILLI * 1210));
     assert_eq!(other.rate_limit("e1"), None);
     // The withdrawal reaches the first daemon and stays there, though its heartbeats go on.
@@ -32,36 +44,54 @@
 #[test]
 fn response_without_a_limit_is_no_statement_about_an_endpoint_that_never_named_one() {
     let mut statements = Statements::default();
-    assert!(!statements.observe(&endpoint(), None, MILLI));
+    assert!(!statements.observe(&endpoint(), None, Said::default(), MILLI));
     assert!(statements.report(MILLI).is_empty());
 }
 
 #[test]
 fn peers_hear_at_once_of_large_changes_only() {
     let mut statements = Statements::default();
-    assert!(statements.observe(&endpoint(), Some(10.0), MILLI));
-    assert!(!statements.observe(&endpoint(), Some(10.5), MILLI * 2));
-    assert!(statements.observe(&endpoint(), Some(5.0), MILLI * 3));
+    assert!(statements.observe(&endpoint(), None, limit(10.0), MILLI));
+    assert!(!statements.observe(&endpoint(), None, limit(10.5), MILLI * 2));
+    assert!(statements.observe(&endpoint(), None, limit(5.0), MILLI * 3));
     assert_eq!(statements.rate_limit("e1"), Some(5.0));
 }
 
 #[test]
 fn statements_of_endpoints_that_are_gone_are_forgotten() {
     let mut statements = Statements::default();
-    statements.observe(&endpoint(), Some(10.0), MILLI);
-    statements.observe(&"e2".into(), Some(10.0), MILLI);
+    statements.observe(&endpoint(), None, limit(10.0), MILLI);
+    statements.observe(&"e2".into(), None, limit(10.0), MILLI);
     statements.prune(|id| **id == *"e2", MILLI * 2);
     assert_eq!(
         (statements.rate_limit("e1"), statements.limited()),
         (None, 1)
     );
-    statements.observe(&"e2".into(), None, MILLI * 3);
+    statements.observe(&"e2".into(), None, Said::default(), MILLI * 3);
     statements.prune(|_| true, MILLI * 4);
     assert_eq!(statements.report(MILLI * 4).len(), 1);
     statements.prune(|_| true, Duration::from_secs(60));
     assert!(statements.report(Duration::from_secs(60)).is_empty());
 }
 
+/// Guards against an endpoint that has said that it leaves and is used again after a late answer or an older heartbeat.
+#[test]
+fn endpoint_that_leaves_stays_so_until_it_starts_anew() {
+    let (mut one, mut other) = (Statements::default(), Statements::default());
+    assert!(one.observe(&endpoint(), Some(7), LEAVING, MILLI * 1000));
+    // A request that was answered before, and whose answer is read later.
+    assert!(!one.observe(&endpoint(), Some(7), Said::default(), MILLI * 1100));
+    assert!(one.is_leaving("e1", Some(7)));
+    // The other daemon has heard of the endpoint later, and not that it leaves.
+    assert!(other.observe(&endpoint(), Some(7), limit(3.0), MILLI * 1500));
+    assert!(other.adopt(&one.report(MILLI * 1300)[0], MILLI * 1300));
+    assert!(other.is_leaving("e1", Some(7)));
+    assert_eq!(other.rate_limit("e1"), Some(3.0));
+    assert!(!other.is_leaving("e1", Some(8)));
+    other.observe(&endpoint(), Some(8), limit(3.0), MILLI * 2000);
+    assert!(!other.is_leaving("e1", Some(8)));
+}
+
 /// Largest number of requests within 4 s that the homes of an endpoint's limit let through, if callers ask all of them
 /// every 10 ms but in pauses.
 fn busiest(rate: f64, zones: usize, pauses: &[u8]) -> usize {
@@ -109,7 +139,11 @@
         let now = Duration::from_secs(1000);
         let heard = statements.iter().map(|(limit, age)| Heard {
             endpoint: endpoint(),
-            rate_limit: (limit % 4 > 0).then_some(f64::from(*limit)),
+            started_ms: None,
+            said: Said {
+                rate_limit: (limit % 4 > 0).then_some(f64::from(*limit)),
+                leaving: false,
+            },
             age_millis: u64::from(*age),
         });
         let mut known = Statements::default();
@@ -120,6 +154,6 @@
                 latest = Some(heard);
             }
         }
-        known.rate_limit("e1") == latest.and_then(|it| it.rate_limit)
+        known.rate_limit("e1") == latest.and_then(|it| it.said.rate_limit)
     }
 }
