Keep quiet for as long as an endpoint that turned a call away asks

Callers without another endpoint are refused at once, with the time after which the first one may be asked. Peers are not told, as the endpoint speaks of this daemon alone.

--- a/src/serving/choose.rs
+++ b/src/serving/choose.rs
@@ -38,6 +38,8 @@
     Model,
     /// Endpoints have the model but not the adapter.
     Adapter,
+    /// Endpoints want no requests from this daemon for some time.
+    Quiet,
     /// Endpoints are paused after failures or rejections.
     Paused,
     /// Endpoints take no more requests under the limits that they have named.
@@ -55,6 +57,7 @@
             Self::Endpoint => "no_endpoint",
             Self::Model => "no_model",
             Self::Adapter => "no_adapter",
+            Self::Quiet => "endpoints_quiet",
             Self::Paused => "endpoints_paused",
             Self::Limited => "endpoints_limited",
             Self::Cold => "endpoints_cold",
@@ -148,6 +151,19 @@
     })
 }
 
+/// Time until the first endpoint of a call's service that wants no requests now may be asked again.
+pub fn quiet_left(node: &Node, admission: &Admission) -> Duration {
+    let view = node.fleet.view.load();
+    let now = node.now();
+    let endpoints = view.services.get(&admission.service.name);
+    let quiet_until = endpoints
+        .into_iter()
+        .flatten()
+        .map(|endpoint| endpoint.tracker.lock().quiet_until);
+    let first = quiet_until.filter(|until| *until > now).min();
+    first.unwrap_or(now).saturating_sub(now)
+}
+
 /// Whether an endpoint that was not tried can start a call at once.
 pub fn has_room(node: &Node, admission: &Admission, call: &Call, tried: &[Name]) -> bool {
     let view = node.fleet.view.load();
@@ -180,6 +196,9 @@
     if let Some(generation) = &call.generation {
         check_loaded(&state, generation, now)?;
     }
+    if now < state.quiet_until {
+        return Err(Unavailable::Quiet);
+    }
     if state.health.is_paused(now) {
         return Err(Unavailable::Paused);
     }
--- a/src/serving/endpoint.rs
+++ b/src/serving/endpoint.rs
@@ -35,6 +35,8 @@
     pub warmup: Warmup,
     /// Time until which the endpoint is cold.
     pub cold_until: Duration,
+    /// Time until which the endpoint wants no requests from this daemon.
+    pub quiet_until: Duration,
     /// Whether the endpoint has said in a response that it leaves.
     pub leaving: bool,
     /// Time until which the endpoint takes no more requests under the limit that it has named.
@@ -50,6 +52,11 @@
 }
 
 impl State {
+    /// Whether the endpoint has said that it wants no requests now.
+    pub fn is_closed(&self, now: Duration) -> bool {
+        self.leaving || now < self.quiet_until
+    }
+
     /// Number of tokens in a prompt's leading parts that were sent to the endpoint before.
     pub fn cached_tokens(&self, digests: &[(u64, u32)]) -> u64 {
         let known = digests
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use super::admit::{Admission, Refusal};
-use super::choose::{Choice, Unavailable};
+use super::choose::{self, Choice, Unavailable};
 use super::send::{Context, Exchange, FULL_PAUSE, Outcome, Pending, Phase};
 use super::{Node, quarantine, stream};
 use crate::protocol::connection;
@@ -174,6 +174,7 @@
         }),
         Unavailable::Endpoint => Duration::from_millis(1500),
         Unavailable::Adapter => Duration::from_millis(300),
+        Unavailable::Quiet => choose::quiet_left(node, &ctx.admission),
         Unavailable::Paused => Duration::from_millis(400),
         Unavailable::Retry | Unavailable::Attempts => FULL_PAUSE,
         Unavailable::Quarantine => quarantine::held(node, &ctx.call).unwrap_or(FULL_PAUSE),
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -247,8 +247,8 @@
             statement::release(&self.node, &choice.endpoint);
             return None;
         };
-        let has_left = choice.endpoint.tracker.lock().leaving;
-        if has_left || self.is_out_of_time() {
+        let is_closed = choice.endpoint.tracker.lock().is_closed(self.node.now());
+        if is_closed || self.is_out_of_time() {
             // This has changed while the connection was opened, or while this process did not run.
             statement::release(&self.node, &choice.endpoint);
             return None;
@@ -458,6 +458,9 @@
         let now = self.node.now();
         let entry = &choice.endpoint.entry;
         let mut state = choice.endpoint.tracker.lock();
+        if let Some(quiet) = head.quiet {
+            state.quiet_until = state.quiet_until.max(now + quiet);
+        }
         if parts.status != StatusCode::MISDIRECTED_REQUEST {
             state.health.refused(FULL_PAUSE, now);
         } else if head.endpoint.as_ref().is_some_and(|id| *id != entry.id) {
@@ -476,7 +479,8 @@
             }
         }
         drop(state);
-        let detail = format!("status={}", parts.status.as_u16());
+        let quiet = head.quiet.unwrap_or_default().as_millis();
+        let detail = format!("status={} quiet_ms={quiet}", parts.status.as_u16());
         self.log("turned_away", choice, &detail);
     }
 
--- a/src/state/call.rs
+++ b/src/state/call.rs
@@ -139,6 +139,8 @@
     pub cold: Option<Duration>,
     /// What the endpoint states about itself.
     pub said: Said,
+    /// Time for which the endpoint wants no requests from this daemon, if it states one.
+    pub quiet: Option<Duration>,
     /// Whether and how long the connection may be kept for reuse after this response.
     pub keep_alive: KeepAlive,
 }
