End an endpoint's exclusion when its limit is withdrawn or changed

Requests were refused for up to 250 ms after an endpoint had withdrawn its limit, by a daemon that had been denied a request just before, or that was asking a home meanwhile.

--- a/src/serving/statement.rs
+++ b/src/serving/statement.rs
@@ -31,7 +31,7 @@
         statements.observe(&entry.id, started_ms, said, node.now())
     };
     if is_news {
-        log(&entry.id, said, "response");
+        apply_news(node, &entry.id, said, "response");
         let heard = Heard {
             endpoint: entry.id.clone(),
             started_ms,
@@ -47,7 +47,7 @@
     for heard in statements {
         let is_news = node.statements.lock().adopt(heard, now);
         if is_news {
-            log(&heard.endpoint, heard.said, "peer");
+            apply_news(node, &heard.endpoint, heard.said, "peer");
         }
     }
     mark_leaving(node);
@@ -79,6 +79,10 @@
     let Err(wait) = node.limits.take_endpoint(node, id, rate_limit).await else {
         return true;
     };
+    if node.statements.lock().rate_limit(id).is_none() {
+        // It was withdrawn while a home was asked.
+        return true;
+    }
     let wait = wait.clamp(MIN_EXCLUSION, MAX_EXCLUSION);
     endpoint.tracker.lock().limited_until = node.now() + wait;
     node.meter.limited.inc();
@@ -111,7 +115,11 @@
     mark_leaving(node);
 }
 
-fn log(endpoint: &Name, said: Said, source: &'static str) {
+/// Logs a statement that differs from the one before, and ends an exclusion under the limit before.
+fn apply_news(node: &Node, endpoint: &Name, said: Said, source: &'static str) {
+    if let Some(tracker) = node.fleet.tracker(endpoint) {
+        tracker.lock().limited_until = Duration::ZERO;
+    }
     spdlog::info!("endpoints: stated", kv: {
         endpoint: = endpoint,
         limit_per_second = said.rate_limit.unwrap_or(-1.0),
