Show the ages of tables and what endpoints state in timelines of requests

`persimmonctl explain` names what a daemon knew when a request came: an endpoint's limit or that it leaves, and a table that had been without proof for too long.

--- a/src/cli/timeline.rs
+++ b/src/cli/timeline.rs
@@ -8,11 +8,13 @@
 use super::show;
 
 /// Events that report a daemon's state, and the field that distinguishes several states of one kind.
-const STATE_EVENTS: [(&str, &str); 7] = [
+const STATE_EVENTS: [(&str, &str); 9] = [
     ("daemon: started", ""),
     ("config: in force", ""),
     ("config: zone", "zone"),
+    ("endpoints: stated", "endpoint"),
     ("peers: limits divided", ""),
+    ("feed: age", "table"),
     ("feed: lost", "table"),
     ("feed: regained", "table"),
     ("placer: lease taken", ""),
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -18,6 +18,9 @@
 {"level":"info","timestamp":1011,"payload":"config: in force","kv":{"version":3,"before":0},"logger":"d2","tid":1}
 {"level":"info","timestamp":1012,"payload":"endpoints: known","kv":{"endpoint":"e1","zone":"a"},"logger":"d1","tid":1}
 {"level":"info","timestamp":1012,"payload":"endpoints: known","kv":{"endpoint":"e9","zone":"a"},"logger":"d1","tid":1}
+{"level":"info","timestamp":1012,"payload":"feed: age","kv":{"table":"Endpoints","overdue":true,"age_ms":2100},"logger":"d1","tid":1}
+{"level":"info","timestamp":1012,"payload":"endpoints: stated","kv":{"endpoint":"e7","limit_per_second":4.5,"leaving":false,"source":"peer"},"logger":"d1","tid":1}
+{"level":"info","timestamp":1012,"payload":"endpoints: stated","kv":{"endpoint":"e7","limit_per_second":6.5,"leaving":false,"source":"peer"},"logger":"d2","tid":1}
 {"level":"info","timestamp":1013,"payload":"placer: lease taken","kv":{"fence":1},"logger":"d2","tid":1}
 {"level":"warn","timestamp":1500,"payload":"feed: lost","kv":{"table":"Operator"},"logger":"d1","tid":1}
 {"level":"info","timestamp":1700,"payload":"feed: regained","kv":{"table":"Operator"},"logger":"d1","tid":1}
@@ -56,6 +59,8 @@
         [
             ("daemon: started", 1000),
             ("endpoints: known", 1012),
+            ("endpoints: stated", 1012),
+            ("feed: age", 1012),
             ("placer: lease taken", 1013),
             ("feed: regained", 1700),
             ("placer: load", 1800),
@@ -125,8 +130,8 @@
     let explained = run(&["--output", "json", "explain", "r1", "--logs", path]);
     assert!(explained.status.success());
     let entries: serde_json::Value = serde_json::from_slice(&explained.stdout).unwrap();
-    assert_eq!(entries[8]["event"], "stream: late");
-    assert_eq!(entries[8]["part"], "request");
+    assert_eq!(entries[10]["event"], "stream: late");
+    assert_eq!(entries[10]["part"], "request");
 
     assert_eq!(
         run(&["explain", "r9", "--logs", path]).status.code(),
