Compare versions of tables as of the last full listing

A listing now counts up to the version as of which it was read. Daemons tell each other the latest row as before.

daemon_that_has_listed_a_table_is_not_behind_the_deletion_of_a_row failed before: three listings in 3 s where none is due.

--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -21,7 +21,7 @@
 use crate::coordination::reader::{Selector, Source};
 use crate::state::mirror::{Changes, Mirror};
 use crate::state::record::Name;
-use crate::state::row::{Page, Row};
+use crate::state::row::Page;
 use crate::transport::exchange::{self, Channel};
 use crate::transport::peer;
 
@@ -492,7 +492,7 @@
         }
         _ => {}
     }
-    note_version(node, table, &changes.rows);
+    node.fleet.note_read(table, changes);
 }
 
 /// Reads all rows of a table.
@@ -533,11 +533,3 @@
         status => Err(Error::Status(status)),
     }
 }
-
-fn note_version(node: &Node, table: Table, rows: &[Row]) {
-    let version = rows.iter().map(|row| row.version).max().unwrap_or_default();
-    match table {
-        Table::Operator => node.fleet.note_operator_version(version),
-        Table::Endpoints => node.fleet.note_registry_version(version),
-    }
-}
--- a/src/serving/fleet.rs
+++ b/src/serving/fleet.rs
@@ -10,7 +10,9 @@
 
 use super::codec::Notice;
 use super::endpoint::{Endpoint, Tracker, View};
+use super::feed::Table;
 use crate::state::catalog::Catalog;
+use crate::state::mirror::Changes;
 use crate::state::record::Name;
 use crate::state::registry::{Entry, Registry};
 
@@ -47,8 +49,24 @@
     peer_zones_out: HashMap<Name, Duration>,
     /// Removals deferred until endpoints have had time to register again, with the time at which they are due.
     deferred: HashMap<Name, Duration>,
-    operator_version: u64,
-    registry_version: u64,
+    operator: TableVersion,
+    endpoints: TableVersion,
+}
+
+/// How far a table has been read.
+#[derive(Debug, Default)]
+struct TableVersion {
+    /// Version of the latest row that was read.
+    row: u64,
+    /// Version as of which all rows were read.
+    listed: u64,
+}
+
+impl TableVersion {
+    /// Version up to which no row is missing, as far as known: a deleted row is not in a listing.
+    fn known(&self) -> u64 {
+        self.row.max(self.listed)
+    }
 }
 
 impl Fleet {
@@ -262,22 +280,30 @@
         (departed, inner.zones_out.iter().cloned().collect())
     }
 
-    /// Versions up to which the operators' and the endpoints' tables have been read.
-    pub fn versions(&self) -> (u64, u64) {
+    /// Versions of the latest rows read of the operators' and the endpoints' tables, for peers.
+    pub fn row_versions(&self) -> (u64, u64) {
         let inner = self.inner.lock();
-        (inner.operator_version, inner.registry_version)
+        (inner.operator.row, inner.endpoints.row)
     }
 
-    /// Records that the operators' table has been read up to a version.
-    pub fn note_operator_version(&self, version: u64) {
-        let mut inner = self.inner.lock();
-        inner.operator_version = inner.operator_version.max(version);
+    /// Versions up to which no row of the operators' and the endpoints' tables is missing, as far as known.
+    pub fn known_versions(&self) -> (u64, u64) {
+        let inner = self.inner.lock();
+        (inner.operator.known(), inner.endpoints.known())
     }
 
-    /// Records that the endpoints' table has been read up to a version.
-    pub fn note_registry_version(&self, version: u64) {
+    /// Records that a table has been read.
+    pub fn note_read(&self, table: Table, changes: &Changes) {
         let mut inner = self.inner.lock();
-        inner.registry_version = inner.registry_version.max(version);
+        let version = match table {
+            Table::Operator => &mut inner.operator,
+            Table::Endpoints => &mut inner.endpoints,
+        };
+        let rows = changes.rows.iter().map(|row| row.version);
+        version.row = version.row.max(rows.max().unwrap_or_default());
+        if changes.all {
+            version.listed = version.listed.max(changes.version);
+        }
     }
 
     /// This daemon's observations of an endpoint.
--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -108,7 +108,7 @@
     if feed_stale {
         node.fleet.apply_peer_report(&state.gone, &state.out, now);
     }
-    let (operator, endpoints) = node.fleet.versions();
+    let (operator, endpoints) = node.fleet.known_versions();
     let catalog = node.fleet.catalog.load();
     let version = catalog.as_ref().map_or(0, |catalog| catalog.version);
     if state.catalog > version && (feed_stale || catalog.is_none()) {
--- a/src/serving/peers/sender.rs
+++ b/src/serving/peers/sender.rs
@@ -82,7 +82,7 @@
 
 fn current_state(node: &Node) -> State {
     let (gone, out) = node.fleet.peer_report();
-    let (operator, endpoints) = node.fleet.versions();
+    let (operator, endpoints) = node.fleet.row_versions();
     let catalog = node.fleet.catalog.load();
     let view = node.fleet.view.load();
     let in_flight = view.all.iter().filter_map(|(id, endpoint)| {
