Let daemons repeat only what they heard of endpoints themselves

All daemons repeated all statements in all heartbeats: at hundreds of daemons that is each statement hundreds of times, for a few kilobytes a heartbeat. Now those that heard a statement themselves repeat it, and all repeat for 20 s that an endpoint leaves, as no answer will state that again.

--- a/src/coordination/statement.rs
+++ b/src/coordination/statement.rs
@@ -13,14 +13,15 @@
 /// Transit time added to the age of what a peer has heard.
 const HOP_DELAY: Duration = Duration::from_millis(50);
 
-/// Time for which a withdrawn limit is remembered, so that older statements of peers do not bring it back.
-const WITHDRAWAL_TIME: Duration = Duration::from_secs(20);
+/// Time for which a withdrawn limit is remembered, so that older statements of peers do not bring it back, and for which
+/// all daemons repeat that an endpoint leaves.
+const REPEAT_TIME: Duration = Duration::from_secs(20);
 
 /// Change of a limit, as a share of it, up to which peers learn of it with the next heartbeat.
 const MINOR_CHANGE: f64 = 0.1;
 
 /// Maximum number of statements in one message.
-const MAX_REPORTED: usize = 64;
+const MAX_REPORTED: usize = 16;
 
 /// What a response states about its endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize, Serialize)]
@@ -55,6 +56,8 @@
     started_ms: Option<u64>,
     said: Said,
     heard_at: Duration,
+    /// Whether a response to this daemon stated it.
+    is_own: bool,
 }
 
 /// Latest statements by endpoint.
@@ -95,6 +98,7 @@
             started_ms,
             said,
             heard_at: now,
+            is_own: true,
         };
         self.record(endpoint, statement)
     }
@@ -106,6 +110,7 @@
             started_ms: heard.started_ms,
             said: heard.said,
             heard_at: now.saturating_sub(age),
+            is_own: false,
         };
         if let Some(known) = self.by_endpoint.get(&heard.endpoint)
             && known.heard_at >= statement.heard_at
@@ -159,9 +164,14 @@
         statements.filter(|it| it.said.rate_limit.is_some()).count()
     }
 
-    /// Statements for peers, latest first.
+    /// Statements to repeat to peers, latest first: those that this daemon heard itself, and recent ones of endpoints that
+    /// leave, as no response will state that again.
     pub fn report(&self, now: Duration) -> Vec<Heard> {
-        let mut statements: Vec<(&Name, &Statement)> = self.by_endpoint.iter().collect();
+        let repeated = self.by_endpoint.iter().filter(|(_, statement)| {
+            let is_recent = statement.heard_at + REPEAT_TIME > now;
+            statement.is_own || (statement.said.leaving && is_recent)
+        });
+        let mut statements: Vec<(&Name, &Statement)> = repeated.collect();
         statements.sort_by_key(|(_, statement)| std::cmp::Reverse(statement.heard_at));
         let statements = statements.into_iter().take(MAX_REPORTED);
         let heard = statements.map(|(endpoint, statement)| Heard {
@@ -176,7 +186,7 @@
     /// Drops statements of endpoints that do not satisfy `is_known`, and limits that were withdrawn long ago.
     pub fn prune(&mut self, is_known: impl Fn(&Name) -> bool, now: Duration) {
         self.by_endpoint.retain(|endpoint, statement| {
-            let is_recent = statement.heard_at + WITHDRAWAL_TIME > now;
+            let is_recent = statement.heard_at + REPEAT_TIME > now;
             is_known(endpoint) && (statement.said != Said::default() || is_recent)
         });
     }
--- a/tests/statement.rs
+++ b/tests/statement.rs
@@ -92,6 +92,24 @@
     assert!(!other.is_leaving("e1", Some(8)));
 }
 
+/// Pattern: hundreds of daemons repeat to each other what one of them has heard.
+#[test]
+fn daemons_repeat_what_they_heard_themselves_and_that_endpoints_leave() {
+    let (mut one, mut other) = (Statements::default(), Statements::default());
+    one.observe(&endpoint(), None, limit(3.0), MILLI * 1000);
+    one.observe(&"e2".into(), None, LEAVING, MILLI * 1000);
+    let heard = one.report(MILLI * 1000);
+    assert_eq!(heard.len(), 2);
+    for heard in &heard {
+        other.adopt(heard, MILLI * 1100);
+    }
+    let repeated = other.report(MILLI * 1200);
+    assert_eq!(repeated.len(), 1);
+    assert_eq!((&*repeated[0].endpoint, repeated[0].said), ("e2", LEAVING));
+    assert!(other.report(Duration::from_secs(60)).is_empty());
+    assert_eq!(one.report(Duration::from_secs(60)).len(), 2);
+}
+
 /// Largest number of requests within 4 s that the homes of an endpoint's limit let through, if callers ask all of them
 /// every 10 ms but in pauses.
 fn busiest(rate: f64, zones: usize, pauses: &[u8]) -> usize {
