--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -458,9 +458,6 @@
         let now = self.node.now();
         let entry = &choice.endpoint.entry;
         let mut state = choice.endpoint.tracker.lock();
-        if let Some(quiet) = head.quiet {
-            state.quiet_until = state.quiet_until.max(now + quiet);
-        }
         if parts.status != StatusCode::MISDIRECTED_REQUEST {
             state.health.refused(FULL_PAUSE, now);
         } else if head.endpoint.as_ref().is_some_and(|id| *id != entry.id) {
--- a/src/serving/statement.rs
+++ b/src/serving/statement.rs
@@ -22,13 +22,15 @@
     if is_another {
         return;
     }
-    let (said, started_ms) = (head.said, entry.started_ms);
-    if said.leaving {
-        endpoint.tracker.lock().leaving = true;
+    let (said, started_ms, now) = (head.said, entry.started_ms, node.now());
+    {
+        let mut state = endpoint.tracker.lock();
+        state.leaving |= said.leaving;
+        state.quiet_until = state.quiet_until.max(now + head.quiet.unwrap_or_default());
     }
     let is_news = {
         let mut statements = node.statements.lock();
-        statements.observe(&entry.id, started_ms, said, node.now())
+        statements.observe(&entry.id, started_ms, said, now)
     };
     if is_news {
         apply_news(node, &entry.id, said, "response");
