Take a stream as silent until it brings a whole event

A stream that brought a byte now and then, and no event, counted as alive: it was held until its caller's deadline and ended without its rest, though another endpoint could have resumed it.

--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -224,18 +224,25 @@
             Some(Err(_)) => return Received::Failed("stream_broken"),
             frame => frame,
         };
-        self.end_move("stayed");
         let Some(Ok(frame)) = frame else {
+            self.end_move("stayed");
             return Received::End;
         };
-        self.silent_since = self.ctx.node.now();
         let Ok(data) = frame.into_data() else {
             return Received::Incomplete;
         };
         match self.events.push(&data) {
+            // Bytes that complete no event don't end the silence.
             Ok(whole) if whole.is_empty() => Received::Incomplete,
-            Ok(whole) => Received::Events(whole),
-            Err(Gap) => Received::Failed("stream_gap"),
+            Ok(whole) => {
+                self.end_move("stayed");
+                self.silent_since = self.ctx.node.now();
+                Received::Events(whole)
+            }
+            Err(Gap) => {
+                self.end_move("stayed");
+                Received::Failed("stream_gap")
+            }
         }
     }
 
