Bound the memory of response bodies that are read whole

Each body could take 16 MiB, so a dozen endpoints that send bytes without an end filled an instance. All bodies beyond 64 KiB share 48 MiB now; a body that finds none left fails like one that is too large, and small ones never need any. Heads of responses may take 64 KiB. Calls to the store keep their own bound.

--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -54,12 +54,16 @@
 use crate::state::call::KeepAlive;
 use crate::state::record::Name;
 use crate::state::row::Change;
+use crate::transport::body::Memory;
 use crate::transport::exchange::{Channel, Connection, Pool};
 use crate::transport::{gossip, peer};
 
 /// Timeout of a write to the store.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Memory for large bodies of endpoints' responses, all together.
+const BODY_MEMORY_BYTES: usize = 48 << 20;
+
 /// Interval at which idle connections are pruned and dropped log lines are reported.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -111,6 +115,8 @@
     pub peer_address: SocketAddr,
     /// Connections for calls to peers.
     pub calls: peer::Pool,
+    /// Memory for large bodies of endpoints' responses.
+    pub memory: Memory,
     /// Idle connections to endpoints.
     pub pool: Pool,
     /// This daemon's shares of the workspaces' rate limits.
@@ -373,6 +379,7 @@
         gossip,
         peer_address,
         calls: peer::Pool::default(),
+        memory: Memory::new(BODY_MEMORY_BYTES),
         pool: Pool::default(),
         limits: limits::Limits::default(),
         retries: Mutex::default(),
--- a/src/serving/placer/order.rs
+++ b/src/serving/placer/order.rs
@@ -50,7 +50,10 @@
     node.meter.reports.inc();
     let request = (node.codec.ask_report)(entry);
     let mut connection = connect(node, id, entry.address).await?;
-    let response = connection.fetch(request, ORDER_TIMEOUT).await.ok()?;
+    let response = connection
+        .fetch_within(request, ORDER_TIMEOUT, &node.memory)
+        .await
+        .ok()?;
     let (parts, body) = response.into_parts();
     let head = (node.codec.head)(&parts);
     statement::observe(node, endpoint, &head);
@@ -107,7 +110,9 @@
         }
         node.meter.orders.inc();
         let request = (node.codec.order)(&order, entry);
-        let response = connection.fetch(request, ORDER_TIMEOUT).await;
+        let response = connection
+            .fetch_within(request, ORDER_TIMEOUT, &node.memory)
+            .await;
         let outcome = match &response {
             Ok(response) => response.status().as_u16().to_string(),
             Err(error) => error.to_string(),
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -15,7 +15,7 @@
 use super::{Node, quarantine, stream};
 use crate::protocol::connection;
 use crate::state::call::Call;
-use crate::transport::exchange::read_whole;
+use crate::transport::body::read_whole;
 
 /// Body of a response to a caller.
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -197,8 +197,8 @@
         body,
         ..
     } = exchange;
-    let read = timeout(ctx.remaining(), read_whole(body)).await;
-    let Ok(Ok(bytes)) = read else {
+    let read = timeout(ctx.remaining(), read_whole(body, &node.memory)).await;
+    let Ok(Some(bytes)) = read else {
         endpoint.tracker.lock().health.failed(node.now());
         return None;
     };
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -18,6 +18,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use super::body::{Memory, read_whole};
 use crate::state::record::Name;
 
 /// Maximum time for which sent data may stay unacknowledged before the connection is closed (`TCP_USER_TIMEOUT`).
@@ -29,8 +30,8 @@
 /// Number of unanswered keepalive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Maximum size of a body that is read as a whole.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Maximum size of the head of a response.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Margin before the peer's idle timeout within which a connection is no longer reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
@@ -102,7 +103,9 @@
             .await
             .map_err(|_| Error::ConnectTimeout)?
             .map_err(Error::Unreachable)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(Error::Broken)?;
         let task = tokio::spawn(async move {
@@ -148,7 +151,7 @@
         }
     }
 
-    /// Sends a request and reads the whole response.
+    /// Sends a request and reads the whole response, whose body may take all the memory that one body may.
     ///
     /// # Errors
     /// Any [`Error`] of sending and reading.
@@ -156,11 +159,25 @@
         &mut self,
         request: Request<Full<Bytes>>,
         within: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        let memory = Memory::new(usize::MAX);
+        self.fetch_within(request, within, &memory).await
+    }
+
+    /// As [`fetch`](Self::fetch), with memory that other bodies share.
+    ///
+    /// # Errors
+    /// As those of [`fetch`](Self::fetch).
+    pub async fn fetch_within(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+        memory: &Memory,
     ) -> Result<Response<Bytes>, Error> {
         let exchange = async {
             let response = self.send(request).await?;
             let (parts, body) = response.into_parts();
-            let bytes = read_whole(body).await?;
+            let bytes = read_whole(body, memory).await.ok_or(Error::Body)?;
             Ok(Response::from_parts(parts, bytes))
         };
         timeout(within, exchange)
@@ -169,15 +186,6 @@
     }
 }
 
-/// Reads a whole body.
-///
-/// # Errors
-/// [`Error::Body`].
-pub async fn read_whole(body: Incoming) -> Result<Bytes, Error> {
-    let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    Ok(collected.map_err(|_| Error::Body)?.to_bytes())
-}
-
 /// A persistent connection to one address, opened on first use and reopened after a failure.
 #[derive(Debug)]
 pub struct Channel {
