Reject times for changes that no poll can keep

With apply_ms or drain_ms of 0 the daemon would have polled the store without a pause and accepted no reader's copy. Less than 200 ms is a mistake now.

--- a/src/serving/settings.rs
+++ b/src/serving/settings.rs
@@ -198,6 +198,7 @@
 const ADDRESS: &str = "IP:PORT";
 const NAME: &str = "a name without blanks";
 const NUMBER: &str = "a number from 0";
+const BOUND: &str = "a number from 200";
 const LEVEL: &str = "one of critical, error, warn, info, debug, trace";
 
 const KEYS: &[Key] = &[
@@ -234,11 +235,11 @@
     key("platform", "store", ADDRESS, true, |s, text| {
         assign(&mut s.store_address, text.parse().ok()?)
     }),
-    key("platform", "apply_ms", NUMBER, false, |s, text| {
-        assign(&mut s.apply_within, parse_millis(text)?)
+    key("platform", "apply_ms", BOUND, false, |s, text| {
+        assign(&mut s.apply_within, parse_bound(text)?)
     }),
-    key("platform", "drain_ms", NUMBER, false, |s, text| {
-        assign(&mut s.drain_within, parse_millis(text)?)
+    key("platform", "drain_ms", BOUND, false, |s, text| {
+        assign(&mut s.drain_within, parse_bound(text)?)
     }),
     key("limits", "retry_window_s", NUMBER, false, |s, text| {
         assign(&mut s.tuning.retry_window, parse_seconds(text)?)
@@ -299,6 +300,11 @@
     Some(parse_seconds(text)? / 1000)
 }
 
+/// Time within which a change must be in force; a shorter one would need polls that are not answered before the next.
+fn parse_bound(text: &str) -> Option<Duration> {
+    parse_millis(text).filter(|bound| *bound >= Duration::from_millis(200))
+}
+
 /// Line number of a key in a section, from 1; 0 if it is not found.
 fn line_of(text: &str, section: &str, name: &str) -> usize {
     let mut current = "-";
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -27,6 +27,23 @@
 }
 
 /// Small copies of a large site divide its limits, so that any of them may have a fraction.
+#[test]
+fn bound_on_changes_that_no_poll_can_keep_is_a_mistake() {
+    for (value, is_valid) in [
+        ("200", true),
+        ("199.9", false),
+        ("0", false),
+        ("soon", false),
+    ] {
+        for key in ["apply_ms", "drain_ms"] {
+            let text = format!("[platform]\n{key} = {value}\n");
+            let mistakes = Settings::parse(&text).unwrap_err();
+            let is_reported = mistakes.iter().any(|mistake| mistake.key == key);
+            assert_eq!(is_reported, !is_valid, "{key} = {value}");
+        }
+    }
+}
+
 #[test]
 fn limits_may_be_fractions() {
     let fractions = "[limits]\nretry_extra = 33.1578947368421\nretry_share = 0.2\nretry_window_s = 9.5\n\
