--- a/src/coordination/statement.rs
+++ b/src/coordination/statement.rs
@@ -25,7 +25,7 @@
 
 /// What a response states about its endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize, Serialize)]
-pub struct Said {
+pub struct Content {
     /// Requests per second that the endpoint takes from all daemons together; `None` if it takes any number.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub rate_limit: Option<f64>,
@@ -36,7 +36,7 @@
 
 /// A statement, for peers.
 #[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
-pub struct Heard {
+pub struct Report {
     /// Identifier of the endpoint.
     #[serde(rename = "e")]
     pub endpoint: Name,
@@ -45,7 +45,7 @@
     pub started_ms: Option<u64>,
     /// What the response stated.
     #[serde(flatten)]
-    pub said: Said,
+    pub content: Content,
     /// Time since a response stated this, in milliseconds.
     #[serde(rename = "a", default)]
     pub age_millis: u64,
@@ -54,7 +54,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Statement {
     started_ms: Option<u64>,
-    said: Said,
+    content: Content,
     heard_at: Duration,
     /// Whether a response to this daemon stated it.
     is_own: bool,
@@ -64,16 +64,16 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use persimmoncroft::coordination::statement::{Said, Statements};
+/// use persimmoncroft::coordination::statement::{Content, Statements};
 /// let (mut one, mut other) = (Statements::default(), Statements::default());
 /// let second = Duration::from_secs(1);
-/// let limited = Said { rate_limit: Some(6.0), leaving: false };
+/// let limited = Content { rate_limit: Some(6.0), leaving: false };
 /// assert!(one.observe(&"e1".into(), None, limited, second));
-/// for heard in one.report(second) {
-///     other.adopt(&heard, second);
+/// for report in one.reports(second) {
+///     other.adopt(&report, second);
 /// }
 /// assert_eq!(other.rate_limit("e1"), Some(6.0));
-/// assert!(other.observe(&"e1".into(), None, Said::default(), second * 2));
+/// assert!(other.observe(&"e1".into(), None, Content::default(), second * 2));
 /// assert_eq!(other.rate_limit("e1"), None);
 /// ```
 #[derive(Debug, Default)]
@@ -88,15 +88,15 @@
         &mut self,
         endpoint: &Name,
         started_ms: Option<u64>,
-        said: Said,
+        content: Content,
         now: Duration,
     ) -> bool {
-        if said == Said::default() && !self.by_endpoint.contains_key(endpoint) {
+        if content == Content::default() && !self.by_endpoint.contains_key(endpoint) {
             return false;
         }
         let statement = Statement {
             started_ms,
-            said,
+            content,
             heard_at: now,
             is_own: true,
         };
@@ -104,90 +104,92 @@
     }
 
     /// Adopts what a peer has heard, unless this daemon knows something later; returns whether that changed much.
-    pub fn adopt(&mut self, heard: &Heard, now: Duration) -> bool {
-        let age = Duration::from_millis(heard.age_millis) + HOP_DELAY;
+    pub fn adopt(&mut self, report: &Report, now: Duration) -> bool {
+        let age = Duration::from_millis(report.age_millis) + HOP_DELAY;
         let mut statement = Statement {
-            started_ms: heard.started_ms,
-            said: heard.said,
+            started_ms: report.started_ms,
+            content: report.content,
             heard_at: now.saturating_sub(age),
             is_own: false,
         };
-        if let Some(known) = self.by_endpoint.get(&heard.endpoint)
+        if let Some(known) = self.by_endpoint.get(&report.endpoint)
             && known.heard_at >= statement.heard_at
         {
-            let is_new = heard.said.leaving && !known.said.leaving;
-            if !is_new || known.started_ms != heard.started_ms {
+            let is_new = report.content.leaving && !known.content.leaving;
+            if !is_new || known.started_ms != report.started_ms {
                 return false;
             }
             statement = *known;
-            statement.said.leaving = true;
+            statement.content.leaving = true;
         }
-        self.record(&heard.endpoint, statement)
+        self.record(&report.endpoint, statement)
     }
 
     fn record(&mut self, endpoint: &Name, mut statement: Statement) -> bool {
         let before = self.by_endpoint.get(endpoint);
         let before = before.filter(|before| before.started_ms == statement.started_ms);
-        let before = before.map_or_else(Said::default, |before| before.said);
-        statement.said.leaving |= before.leaving;
+        let before = before.map_or_else(Content::default, |before| before.content);
+        statement.content.leaving |= before.leaving;
         self.by_endpoint.insert(endpoint.clone(), statement);
-        let said = statement.said;
-        let is_limit_news = match (before.rate_limit, said.rate_limit) {
+        let content = statement.content;
+        let is_limit_news = match (before.rate_limit, content.rate_limit) {
             (None, None) => false,
             (Some(before), Some(after)) => (after - before).abs() > before * MINOR_CHANGE,
             _ => true,
         };
-        is_limit_news || said.leaving != before.leaving
+        is_limit_news || content.leaving != before.leaving
     }
 
     /// Whether an endpoint that started at `started_ms` has said that it leaves.
     pub fn is_leaving(&self, endpoint: &str, started_ms: Option<u64>) -> bool {
         let statement = self.by_endpoint.get(endpoint);
-        statement.is_some_and(|it| it.said.leaving && it.started_ms == started_ms)
+        statement.is_some_and(|it| it.content.leaving && it.started_ms == started_ms)
     }
 
     /// Requests per second that an endpoint takes from all daemons together, if it has named a limit.
     pub fn rate_limit(&self, endpoint: &str) -> Option<f64> {
-        self.by_endpoint.get(endpoint)?.said.rate_limit
+        self.by_endpoint.get(endpoint)?.content.rate_limit
     }
 
     /// Endpoints that have said that they leave.
     pub fn leaving(&self) -> impl Iterator<Item = &Name> {
         let statements = self.by_endpoint.iter();
-        let leaving = statements.filter(|(_, statement)| statement.said.leaving);
+        let leaving = statements.filter(|(_, statement)| statement.content.leaving);
         leaving.map(|(endpoint, _)| endpoint)
     }
 
     /// Number of endpoints that have named a limit.
     pub fn limited(&self) -> usize {
         let statements = self.by_endpoint.values();
-        statements.filter(|it| it.said.rate_limit.is_some()).count()
+        statements
+            .filter(|it| it.content.rate_limit.is_some())
+            .count()
     }
 
     /// Statements to repeat to peers, latest first: those that this daemon heard itself, and recent ones of endpoints that
     /// leave, as no response will state that again.
-    pub fn report(&self, now: Duration) -> Vec<Heard> {
+    pub fn reports(&self, now: Duration) -> Vec<Report> {
         let repeated = self.by_endpoint.iter().filter(|(_, statement)| {
             let is_recent = statement.heard_at + REPEAT_TIME > now;
-            statement.is_own || (statement.said.leaving && is_recent)
+            statement.is_own || (statement.content.leaving && is_recent)
         });
         let mut statements: Vec<(&Name, &Statement)> = repeated.collect();
         statements.sort_by_key(|(_, statement)| std::cmp::Reverse(statement.heard_at));
         let statements = statements.into_iter().take(MAX_REPORTED);
-        let heard = statements.map(|(endpoint, statement)| Heard {
+        let reports = statements.map(|(endpoint, statement)| Report {
             endpoint: endpoint.clone(),
             started_ms: statement.started_ms,
-            said: statement.said,
+            content: statement.content,
             age_millis: now.saturating_sub(statement.heard_at).as_millis() as u64,
         });
-        heard.collect()
+        reports.collect()
     }
 
     /// Drops statements of endpoints that do not satisfy `is_known`, and limits that were withdrawn long ago.
     pub fn prune(&mut self, is_known: impl Fn(&Name) -> bool, now: Duration) {
         self.by_endpoint.retain(|endpoint, statement| {
             let is_recent = statement.heard_at + REPEAT_TIME > now;
-            is_known(endpoint) && (statement.said != Said::default() || is_recent)
+            is_known(endpoint) && (statement.content != Content::default() || is_recent)
         });
     }
 }
--- a/src/protocol/digest.rs
+++ b/src/protocol/digest.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::quarantine::{Hold, Occurrence};
-use crate::coordination::statement::Heard;
+use crate::coordination::statement::Report;
 use crate::state::record::Name;
 
 /// A message with its sender.
@@ -58,7 +58,7 @@
     Sound(Vec<u64>),
     /// What endpoints have stated about themselves, if it is new.
     #[serde(rename = "t")]
-    Stated(Vec<Heard>),
+    Stated(Vec<Report>),
 }
 
 /// What a rate limit applies to.
@@ -152,7 +152,7 @@
     pub holds: Vec<Hold>,
     /// What endpoints have stated about themselves.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
-    pub statements: Vec<Heard>,
+    pub statements: Vec<Report>,
     /// Whether the sender is shutting down.
     #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
     pub leaving: bool,
--- a/src/serving/peers/sender.rs
+++ b/src/serving/peers/sender.rs
@@ -99,7 +99,7 @@
         placing: node.placer.fence(node),
         registration: None,
         holds: quarantine::holds(node),
-        statements: node.statements.lock().report(node.now()),
+        statements: node.statements.lock().reports(node.now()),
         leaving: node.leaving.is_cancelled(),
     }
 }
--- a/src/serving/statement.rs
+++ b/src/serving/statement.rs
@@ -4,7 +4,7 @@
 
 use super::endpoint::Endpoint;
 use super::{Node, peers};
-use crate::coordination::statement::{Heard, Said};
+use crate::coordination::statement::{Content, Report};
 use crate::protocol::digest::{Body, Subject};
 use crate::state::call::Head;
 use crate::state::record::Name;
@@ -22,34 +22,34 @@
     if is_another {
         return;
     }
-    let (said, started_ms, now) = (head.said, entry.started_ms, node.now());
+    let (content, started_ms, now) = (head.statement, entry.started_ms, node.now());
     {
         let mut state = endpoint.tracker.lock();
-        state.leaving |= said.leaving;
+        state.leaving |= content.leaving;
         state.quiet_until = state.quiet_until.max(now + head.quiet.unwrap_or_default());
     }
     let is_news = {
         let mut statements = node.statements.lock();
-        statements.observe(&entry.id, started_ms, said, now)
+        statements.observe(&entry.id, started_ms, content, now)
     };
     if is_news {
-        apply_news(node, &entry.id, said, "response");
-        let heard = Heard {
+        apply_news(node, &entry.id, content, "response");
+        let report = Report {
             endpoint: entry.id.clone(),
             started_ms,
-            said,
+            content,
             age_millis: 0,
         };
-        peers::broadcast(node, Body::Stated(vec![heard]));
+        peers::broadcast(node, Body::Stated(vec![report]));
     }
 }
 
 /// Adopts what a peer has heard.
-pub fn adopt(node: &Node, statements: &[Heard], now: Duration) {
-    for heard in statements {
-        let is_news = node.statements.lock().adopt(heard, now);
+pub fn adopt(node: &Node, reports: &[Report], now: Duration) {
+    for report in reports {
+        let is_news = node.statements.lock().adopt(report, now);
         if is_news {
-            apply_news(node, &heard.endpoint, heard.said, "peer");
+            apply_news(node, &report.endpoint, report.content, "peer");
         }
     }
     mark_leaving(node);
@@ -118,14 +118,14 @@
 }
 
 /// Logs a statement that differs from the one before, and ends an exclusion under the limit before.
-fn apply_news(node: &Node, endpoint: &Name, said: Said, source: &'static str) {
+fn apply_news(node: &Node, endpoint: &Name, content: Content, source: &'static str) {
     if let Some(tracker) = node.fleet.tracker(endpoint) {
         tracker.lock().limited_until = Duration::ZERO;
     }
     spdlog::info!("endpoints: stated", kv: {
         endpoint: = endpoint,
-        limit_per_second = said.rate_limit.unwrap_or(-1.0),
-        leaving = said.leaving,
+        limit_per_second = content.rate_limit.unwrap_or(-1.0),
+        leaving = content.leaving,
         source,
     });
 }
--- a/src/state/call.rs
+++ b/src/state/call.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method};
 
 use super::record::Name;
-use crate::coordination::statement::Said;
+use crate::coordination::statement::Content;
 
 /// A part of a prompt that several requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -138,7 +138,7 @@
     /// Remaining time of the endpoint's cold start, if stated.
     pub cold: Option<Duration>,
     /// What the endpoint states about itself.
-    pub said: Said,
+    pub statement: Content,
     /// Time for which the endpoint wants no requests from this daemon, if it states one.
     pub quiet: Option<Duration>,
     /// Whether and how long the connection may be kept for reuse after this response.
--- a/tests/statement.rs
+++ b/tests/statement.rs
@@ -4,20 +4,20 @@
 use std::time::Duration;
 
 use persimmoncroft::coordination::allowance::{Allowance, Terms};
-use persimmoncroft::coordination::statement::{Heard, Said, Statements};
+use persimmoncroft::coordination::statement::{Content, Report, Statements};
 use persimmoncroft::state::record::Name;
 use quickcheck::quickcheck;
 
 const MILLI: Duration = Duration::from_millis(1);
 
-fn limit(rate_limit: f64) -> Said {
-    Said {
+fn limit(rate_limit: f64) -> Content {
+    Content {
         rate_limit: Some(rate_limit),
         leaving: false,
     }
 }
 
-const LEAVING: Said = Said {
+const LEAVING: Content = Content {
     rate_limit: None,
     leaving: true,
 };
@@ -31,21 +31,21 @@
 fn older_statement_of_a_peer_does_not_bring_a_withdrawn_limit_back() {
     let (mut one, mut other) = (Statements::default(), Statements::default());
     assert!(one.observe(&endpoint(), None, limit(4.0), MILLI * 1000));
-    let late = one.report(MILLI * 1100);
+    let late = one.reports(MILLI * 1100);
     assert!(other.adopt(&late[0], MILLI * 1100));
-    assert!(other.observe(&endpoint(), None, Said::default(), MILLI * 1200));
-    assert!(!other.adopt(&one.report(MILLI * 1210)[0], MILLI * 1210));
+    assert!(other.observe(&endpoint(), None, Content::default(), MILLI * 1200));
+    assert!(!other.adopt(&one.reports(MILLI * 1210)[0], MILLI * 1210));
     assert_eq!(other.rate_limit("e1"), None);
     // The withdrawal reaches the first daemon and stays there, though its heartbeats go on.
-    assert!(one.adopt(&other.report(MILLI * 1300)[0], MILLI * 1300));
+    assert!(one.adopt(&other.reports(MILLI * 1300)[0], MILLI * 1300));
     assert_eq!(one.rate_limit("e1"), None);
 }
 
 #[test]
 fn response_without_a_limit_is_no_statement_about_an_endpoint_that_never_named_one() {
     let mut statements = Statements::default();
-    assert!(!statements.observe(&endpoint(), None, Said::default(), MILLI));
-    assert!(statements.report(MILLI).is_empty());
+    assert!(!statements.observe(&endpoint(), None, Content::default(), MILLI));
+    assert!(statements.reports(MILLI).is_empty());
 }
 
 #[test]
@@ -67,11 +67,11 @@
         (statements.rate_limit("e1"), statements.limited()),
         (None, 1)
     );
-    statements.observe(&"e2".into(), None, Said::default(), MILLI * 3);
+    statements.observe(&"e2".into(), None, Content::default(), MILLI * 3);
     statements.prune(|_| true, MILLI * 4);
-    assert_eq!(statements.report(MILLI * 4).len(), 1);
+    assert_eq!(statements.reports(MILLI * 4).len(), 1);
     statements.prune(|_| true, Duration::from_secs(60));
-    assert!(statements.report(Duration::from_secs(60)).is_empty());
+    assert!(statements.reports(Duration::from_secs(60)).is_empty());
 }
 
 /// Guards against an endpoint that has said that it leaves and is used again after a late answer or an older heartbeat.
@@ -80,11 +80,11 @@
     let (mut one, mut other) = (Statements::default(), Statements::default());
     assert!(one.observe(&endpoint(), Some(7), LEAVING, MILLI * 1000));
     // A request that was answered before, and whose answer is read later.
-    assert!(!one.observe(&endpoint(), Some(7), Said::default(), MILLI * 1100));
+    assert!(!one.observe(&endpoint(), Some(7), Content::default(), MILLI * 1100));
     assert!(one.is_leaving("e1", Some(7)));
     // The other daemon has heard of the endpoint later, and not that it leaves.
     assert!(other.observe(&endpoint(), Some(7), limit(3.0), MILLI * 1500));
-    assert!(other.adopt(&one.report(MILLI * 1300)[0], MILLI * 1300));
+    assert!(other.adopt(&one.reports(MILLI * 1300)[0], MILLI * 1300));
     assert!(other.is_leaving("e1", Some(7)));
     assert_eq!(other.rate_limit("e1"), Some(3.0));
     assert!(!other.is_leaving("e1", Some(8)));
@@ -98,16 +98,19 @@
     let (mut one, mut other) = (Statements::default(), Statements::default());
     one.observe(&endpoint(), None, limit(3.0), MILLI * 1000);
     one.observe(&"e2".into(), None, LEAVING, MILLI * 1000);
-    let heard = one.report(MILLI * 1000);
+    let heard = one.reports(MILLI * 1000);
     assert_eq!(heard.len(), 2);
     for heard in &heard {
         other.adopt(heard, MILLI * 1100);
     }
-    let repeated = other.report(MILLI * 1200);
+    let repeated = other.reports(MILLI * 1200);
     assert_eq!(repeated.len(), 1);
-    assert_eq!((&*repeated[0].endpoint, repeated[0].said), ("e2", LEAVING));
-    assert!(other.report(Duration::from_secs(60)).is_empty());
-    assert_eq!(one.report(Duration::from_secs(60)).len(), 2);
+    assert_eq!(
+        (&*repeated[0].endpoint, repeated[0].content),
+        ("e2", LEAVING)
+    );
+    assert!(other.reports(Duration::from_secs(60)).is_empty());
+    assert_eq!(one.reports(Duration::from_secs(60)).len(), 2);
 }
 
 /// Largest number of requests within 4 s that the homes of an endpoint's limit let through, if callers ask all of them
@@ -155,23 +158,23 @@
     /// Whatever the order of messages, a daemon ends with the latest statement that it has heard of.
     fn latest_statement_holds(statements: Vec<(u8, u16)>) -> bool {
         let now = Duration::from_secs(1000);
-        let heard = statements.iter().map(|(limit, age)| Heard {
+        let heard = statements.iter().map(|(limit, age)| Report {
             endpoint: endpoint(),
             started_ms: None,
-            said: Said {
+            content: Content {
                 rate_limit: (limit % 4 > 0).then_some(f64::from(*limit)),
                 leaving: false,
             },
             age_millis: u64::from(*age),
         });
         let mut known = Statements::default();
-        let mut latest: Option<Heard> = None;
+        let mut latest: Option<Report> = None;
         for heard in heard {
             known.adopt(&heard, now);
             if latest.as_ref().is_none_or(|it| heard.age_millis < it.age_millis) {
                 latest = Some(heard);
             }
         }
-        known.rate_limit("e1") == latest.and_then(|it| it.said.rate_limit)
+        known.rate_limit("e1") == latest.and_then(|it| it.content.rate_limit)
     }
 }
