Go on with a store that was restored from an older copy

A store may come back from a copy that is some seconds old (Store-Era): its versions go back and are given out again. Daemons compared versions alone, so they took over no change at all until the store had passed the last version that they had read, listed both tables again and again meanwhile, and used endpoints and zones as the copy showed them.

A version now is ordered by the number of restores first; the codec joins and splits the two, so every comparison, in feeds, mirrors and heartbeats, follows. Changes that are read across a restore are listed anew. What is missing in the copy is kept for the time in which it is written again, as after an outage: endpoints, zones that are out of service (a new listing ends that). An endpoint that has said that it leaves stays out of use until it starts anew, whatever a copy says. Daemons write their rows again.

The lease of placement is not part of this.

--- a/src/serving/codec.rs
+++ b/src/serving/codec.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use http::{Request, request, response};
+use http::{HeaderMap, Request, request, response};
 use http_body_util::Full;
 
 use crate::state::call::{Call, Dispatch, Head};
@@ -135,5 +135,5 @@
     /// Builds a conditional write of rows.
     pub commit: fn(&Change) -> Request<Full<Bytes>>,
     /// Parses a page of rows; `None` if it is malformed.
-    pub page: fn(&[u8]) -> Option<Page>,
+    pub page: fn(&HeaderMap, &[u8]) -> Option<Page>,
 }
--- a/src/serving/feed.rs
+++ b/src/serving/feed.rs
@@ -21,7 +21,7 @@
 use crate::coordination::reader::{Selector, Source};
 use crate::state::mirror::{Changes, Mirror};
 use crate::state::record::Name;
-use crate::state::row::Page;
+use crate::state::row::{Page, restores};
 use crate::transport::exchange::{self, Channel};
 use crate::transport::peer;
 
@@ -59,6 +59,8 @@
     Status(StatusCode),
     /// requested version has been compacted
     Compacted,
+    /// store was restored from a copy
+    Restored,
     /// response of the store is malformed
     Page,
     /// store did not respond in time
@@ -113,6 +115,8 @@
     reads_store: bool,
     /// Time until which removed endpoints may register again.
     defer_until: Duration,
+    /// Time at which the table is listed again.
+    list_again_at: Option<Duration>,
 }
 
 impl Feed {
@@ -158,6 +162,33 @@
         was_failing
     }
 
+    /// Defers removals if changes are the first ones since the store was restored from a copy: what was written after the
+    /// copy is written again. Returns whether they are.
+    fn note_restore(&self, version: u64, now: Duration) -> bool {
+        let mut state = self.state.lock();
+        let known = state.mirror.version();
+        let is_restored = known > 0 && restores(version) > restores(known);
+        if is_restored {
+            state.defer_until = now + REREGISTRATION_TIME;
+        }
+        is_restored
+    }
+
+    /// Has the table listed again at a time, because rows that are missing may have been written again by then.
+    fn list_again(&self, at: Duration) {
+        self.state.lock().list_again_at = Some(at);
+    }
+
+    /// Whether the table is to be listed again now.
+    fn take_listing(&self, now: Duration) -> bool {
+        let mut state = self.state.lock();
+        let is_due = state.list_again_at.is_some_and(|at| at <= now);
+        if is_due {
+            state.list_again_at = None;
+        }
+        is_due
+    }
+
     /// Time for which changes may have been missed; `None` before the first read.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.state.lock().freshness.age(now)
@@ -219,6 +250,9 @@
     let mut has_failed = false;
     loop {
         let readers = node.peers.readers(&node.settings, node.now());
+        if feed.take_listing(node.now()) {
+            version = None;
+        }
         let source = match version {
             // Daemons that start find each other by the store anyway.
             None if !feed.stale(Duration::ZERO, node.now()) => Source::Store,
@@ -251,6 +285,14 @@
         match result {
             Ok((changes, proven_at)) => {
                 selector.succeeded(&source);
+                if feed.note_restore(changes.version, now) {
+                    spdlog::warn!("feed: store was restored from a copy", kv: {
+                        table:? = table,
+                        restores = restores(changes.version),
+                    });
+                    // Its daemons' rows may be gone.
+                    node.peers.list_again();
+                }
                 apply(node, table, &changes);
                 if feed.succeeded(&source, &changes, proven_at, now) {
                     spdlog::info!("feed: regained", kv: {
@@ -272,8 +314,11 @@
                         .await;
                 }
             }
-            Err(Error::Compacted) => {
-                spdlog::info!("feed: changes no longer available, listing all rows", kv: { table:? = table });
+            Err(error @ (Error::Compacted | Error::Restored)) => {
+                spdlog::info!("feed: changes no longer available, listing all rows", kv: {
+                    table:? = table,
+                    error: = error,
+                });
                 version = None;
             }
             Err(error) => {
@@ -399,6 +444,9 @@
     let started = node.now();
     let request = (node.codec.follow)(table_name(node, table), after, wait);
     let page = fetch(node, channel, request, wait + CALL_TIMEOUT).await?;
+    if restores(page.version) != restores(after) {
+        return Err(Error::Restored);
+    }
     // A poll without changes is answered at its end.
     let waited = match page.rows.is_empty() {
         true => wait,
@@ -472,6 +520,7 @@
 /// Puts changes of a table in force.
 fn apply(node: &Node, table: Table, changes: &Changes) {
     let defer_until = feed(node, table).defer_until();
+    let is_deferred = node.now() < defer_until;
     let mut endpoints = HashSet::new();
     let mut zones = HashSet::new();
     for row in &changes.rows {
@@ -479,12 +528,18 @@
         match &notice {
             Notice::Endpoint(entry) => drop(endpoints.insert(entry.id.clone())),
             Notice::Zone { zone, out: true } => drop(zones.insert(zone.clone())),
+            Notice::Zone { out: false, .. } if is_deferred => {
+                // The row may only be missing in an older copy of the table.
+                feed(node, table).list_again(defer_until);
+                continue;
+            }
             _ => {}
         }
         let source = row.value.clone().unwrap_or_default();
         node.fleet.apply(notice, &source, defer_until, node.now());
     }
     match table {
+        Table::Operator if changes.all && is_deferred => feed(node, table).list_again(defer_until),
         Table::Operator if changes.all => node.fleet.retain_zones(&zones, node.now()),
         Table::Endpoints if changes.all => {
             node.fleet
@@ -498,7 +553,7 @@
 /// Reads all rows of a table.
 ///
 /// # Errors
-/// Any [`Error`] but [`Error::Compacted`].
+/// Any [`Error`] but [`Error::Compacted`]; [`Error::Restored`] if that happens between two pages.
 pub async fn list(node: &Node, channel: &Channel, table: &str) -> Result<Page, Error> {
     let mut all = Page::default();
     loop {
@@ -508,6 +563,8 @@
         if all.version == 0 {
             // Watching from the first page's version also returns changes made between the pages.
             all.version = page.version;
+        } else if restores(page.version) != restores(all.version) {
+            return Err(Error::Restored);
         }
         all.rows.extend(page.rows);
         if !page.more {
@@ -528,7 +585,7 @@
         .await
         .map_err(Error::Exchange)?;
     match response.status() {
-        StatusCode::OK => (node.codec.page)(response.body()).ok_or(Error::Page),
+        StatusCode::OK => (node.codec.page)(response.headers(), response.body()).ok_or(Error::Page),
         StatusCode::GONE => Err(Error::Compacted),
         status => Err(Error::Status(status)),
     }
--- a/src/serving/fleet.rs
+++ b/src/serving/fleet.rs
@@ -19,6 +19,9 @@
 /// Time for which an endpoint is reported to peers as draining or removed.
 const REMOVAL_REPORT_TIME: Duration = Duration::from_secs(20);
 
+/// Time after its last entry for which an endpoint that left is remembered.
+const LEFT_TIME: Duration = Duration::from_secs(120);
+
 /// Time for which a peer's report of a draining or removed endpoint, or of a zone out of service, is valid.
 const PEER_REPORT_TTL: Duration = Duration::from_secs(4);
 
@@ -43,6 +46,9 @@
     zones_out: HashSet<Name>,
     /// Endpoints that are draining or were removed, with the time at which that was learned.
     departed: HashMap<Name, Duration>,
+    /// Starts of endpoints that have said in the store that they leave, with the time at which that was last seen; an older
+    /// copy of the store may not say so.
+    left: HashMap<Name, (u64, Duration)>,
     /// Endpoints that peers report as draining or removed, with the expiry of the report.
     peer_departed: HashMap<Name, Duration>,
     /// Zones that peers report as out of service, with the expiry of the report.
@@ -157,9 +163,16 @@
         }
     }
 
-    fn update_endpoint(&self, entry: Entry, now: Duration) {
+    fn update_endpoint(&self, mut entry: Entry, now: Duration) {
         let mut inner = self.inner.lock();
         let id = entry.id.clone();
+        if let Some(started) = entry.started_ms {
+            let has_left = inner.left.get(&id).is_some_and(|left| left.0 == started);
+            entry.draining |= has_left;
+            if entry.draining {
+                inner.left.insert(id.clone(), (started, now));
+            }
+        }
         inner.deferred.remove(&id);
         let before = inner.registry.get(&id).cloned();
         let restarted = before
@@ -234,8 +247,12 @@
         inner.peer_departed.retain(|_, until| *until > now);
         inner.peer_zones_out.retain(|_, until| *until > now);
         let Inner {
-            registry, departed, ..
+            registry,
+            departed,
+            left,
+            ..
         } = &mut *inner;
+        left.retain(|id, (_, seen)| registry.get(id).is_some() || *seen + LEFT_TIME > now);
         departed.retain(|id, at| {
             let draining = registry.get(id).is_some_and(|entry| entry.draining);
             draining || *at + REMOVAL_REPORT_TIME > now
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -238,7 +238,8 @@
         let response = response.map_err(feed::Error::Exchange)?;
         match response.status() {
             StatusCode::OK => {
-                let page = (self.codec.page)(response.body()).ok_or(feed::Error::Page)?;
+                let page = (self.codec.page)(response.headers(), response.body())
+                    .ok_or(feed::Error::Page)?;
                 Ok(Some(page.version))
             }
             StatusCode::PRECONDITION_FAILED => Ok(None),
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -152,6 +152,11 @@
         self.listed.load(Ordering::Relaxed)
     }
 
+    /// Has the daemons' table read again, and this daemon's row written if it is missing.
+    pub fn list_again(&self) {
+        self.unknown_sender.notify_one();
+    }
+
     /// Number of daemons that share fleet-wide limits, including this one.
     pub fn count(&self) -> usize {
         self.names.load().len()
