Take the placement lease with a higher token and a wait after a restore

In a restored copy the lease may be missing, or name an earlier holder. Now a new term has a token above every one that this daemon, a peer's heartbeat or the row has named, and above all before the restore; it waits for a lease's duration unless there never was a holder. A renewal that is answered after a restore counts as unknown, and starts a new term.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -30,6 +30,37 @@
     },
 }
 
+/// A term that a daemon begins as a new holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Term {
+    /// Fencing token.
+    pub fence: u64,
+    /// Whether an earlier holder may still act, so that the new one has to wait for a lease's duration.
+    pub waits: bool,
+}
+
+impl Term {
+    /// The term that follows all earlier ones. `claimed` is the token by the row, `highest` the highest one known from
+    /// elsewhere (0 if none), `restores` how often the table was restored from a copy, which may lack the latest terms.
+    ///
+    /// ```
+    /// use persimmoncroft::coordination::election::Term;
+    /// assert_eq!(Term::after(1, false, 0, 0), Term { fence: 1, waits: false });
+    /// assert_eq!(Term::after(3, true, 6, 0), Term { fence: 7, waits: true });
+    /// assert!(Term::after(1, false, 0, 1).fence > Term::after(900, true, 0, 0).fence);
+    /// ```
+    pub fn after(claimed: u64, has_row: bool, highest: u64, restores: u64) -> Self {
+        let least = (restores << RESTORE_SHIFT) + 1;
+        Self {
+            fence: claimed.max(highest + 1).max(least),
+            waits: has_row || highest > 0 || restores > 0,
+        }
+    }
+}
+
+/// Bits by which the number of restores is shifted in a fencing token, above the terms between two restores.
+const RESTORE_SHIFT: u32 = 32;
+
 /// One daemon's view of a lease.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Election {
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -109,6 +109,8 @@
     /// Whether the store did not answer this daemon's last write in time, so that the next one goes through peers at once.
     store_is_silent: AtomicBool,
     unknown_sender: Notify,
+    /// Highest fencing token of the placement lease that a peer has named.
+    highest_fence: AtomicU64,
     /// Homes of workspaces, as far as asked for since the list of names changed.
     homes: Mutex<HashMap<Name, Arc<[Home]>>>,
     operator_lag: Mutex<Lag>,
@@ -126,6 +128,7 @@
             listed: AtomicBool::default(),
             store_is_silent: AtomicBool::default(),
             unknown_sender: Notify::default(),
+            highest_fence: AtomicU64::default(),
             homes: Mutex::default(),
             operator_lag: Mutex::default(),
             endpoints_lag: Mutex::default(),
@@ -152,6 +155,11 @@
         self.listed.load(Ordering::Relaxed)
     }
 
+    /// Highest fencing token of the placement lease that a peer has named; 0 if none has.
+    pub fn highest_fence(&self) -> u64 {
+        self.highest_fence.load(Ordering::Relaxed)
+    }
+
     /// Has the daemons' table read again, and this daemon's row written if it is missing.
     pub fn list_again(&self) {
         self.unknown_sender.notify_one();
--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -3,6 +3,7 @@
 use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use super::{LONGEST_LAG, MAX_LAG, Peer, apply_holdings, send, source, update_remote_in_flight};
@@ -71,6 +72,8 @@
     };
     match digest.body {
         Body::State(state) => {
+            let fence = state.placing.unwrap_or_default();
+            node.peers.highest_fence.fetch_max(fence, Ordering::Relaxed);
             if let Some(before) = before {
                 update_remote_in_flight(node, &before.flights, &state.flights);
             }
--- a/src/serving/placer/lease.rs
+++ b/src/serving/placer/lease.rs
@@ -7,11 +7,11 @@
 use tokio::time::sleep;
 
 use super::PLAN_INTERVAL;
-use crate::coordination::election::{Lease, Step};
+use crate::coordination::election::{Lease, Step, Term};
 use crate::serving::peers::commit;
 use crate::serving::{Node, feed, jitter};
 use crate::state::record::Name;
-use crate::state::row::Change;
+use crate::state::row::{Change, restores};
 use crate::transport::exchange::Channel;
 
 /// Store table of the lease.
@@ -62,21 +62,24 @@
 
 /// Writes the lease if it is free or held by this daemon.
 async fn claim(node: &Arc<Node>, channel: &Channel, held: bool) -> Result<(), feed::Error> {
-    let version = node.placer.leadership.lock().election.version();
-    if let Some(version) = version.filter(|_| held) {
+    let claimed_version = node.placer.leadership.lock().election.version();
+    if let Some(version) = claimed_version.filter(|_| held) {
         let fence = node.placer.leadership.lock().fence;
         let requested_at = node.boot_now();
         // A holder that the store does not answer goes on as long as a peer can write for it: every change of the holder
         // costs the time of a lease without orders.
         let renewed = commit::commit(node, channel, &own_lease(node, fence, Some(version))).await;
         match renewed {
-            Ok(Some(version)) => {
+            Ok(Some(new_version)) if restores(new_version) == restores(version) => {
                 let mut leadership = node.placer.leadership.lock();
-                leadership.election.claimed(fence, version, requested_at);
+                leadership
+                    .election
+                    .claimed(fence, new_version, requested_at);
                 return Ok(());
             }
-            // The write may have been applied, or another daemon has written the row; reading it shows which.
-            Ok(None) => {}
+            // The write may have been applied, or another daemon has written the row; reading it shows which. After a
+            // restore it may have replaced another daemon's row, as versions are given out again.
+            Ok(_) => {}
             Err(error) => {
                 node.journal.line(
                     || spdlog::info!("placer: failed to renew lease", kv: { error: = error }),
@@ -94,9 +97,10 @@
     let session = session_id(node);
     // A row that this session wrote without getting a response starts a new term, too.
     let current_fence = node.placer.leadership.lock().fence;
-    let is_renewal = lease
-        .as_ref()
-        .is_some_and(|(lease, _)| lease.session == session && lease.fence == current_fence);
+    // So does a row that is read from a restored copy, which may lack the terms of others.
+    let is_restored = claimed_version.map(restores) != Some(restores(page.version));
+    let is_own = |lease: &Lease| lease.session == session && lease.fence == current_fence;
+    let is_renewal = !is_restored && lease.as_ref().is_some_and(|(lease, _)| is_own(lease));
     let lease = lease.as_ref().map(|(lease, version)| (lease, *version));
     let step = {
         let mut leadership = node.placer.leadership.lock();
@@ -108,6 +112,17 @@
         }
         return Ok(());
     };
+    let term = match is_renewal {
+        true => Term {
+            fence,
+            waits: false,
+        },
+        false => {
+            let highest = node.peers.highest_fence().max(current_fence);
+            Term::after(fence, version.is_some(), highest, restores(page.version))
+        }
+    };
+    let fence = term.fence;
     let change = own_lease(node, fence, version);
     let Some(new_version) = node.commit(channel, &change).await? else {
         return Ok(());
@@ -119,10 +134,9 @@
             .claimed(fence, new_version, requested_at);
     }
     if !is_renewal {
-        // Without a row there was no earlier holder; otherwise it stopped before its row could be taken over.
-        let wait = match version {
-            None => Duration::ZERO,
-            Some(_) => node.settings.placement_lease + TAKEOVER_MARGIN,
+        let wait = match term.waits {
+            true => node.settings.placement_lease + TAKEOVER_MARGIN,
+            false => Duration::ZERO,
         };
         begin_term(node, fence, wait, requested_at);
     }
--- a/src/serving/placer/mod.rs
+++ b/src/serving/placer/mod.rs
@@ -76,7 +76,8 @@
             .then_some(leadership.fence)
     }
 
-    fn may_order(&self, node: &Node) -> bool {
+    /// Whether this daemon may send orders now.
+    pub fn may_order(&self, node: &Node) -> bool {
         self.leadership.lock().may_act(node.boot_now())
     }
 
