Exclude an endpoint for its quiet only if it has asked for one

Each response set the end of the quiet to the time of its head, so a request that was choosing an endpoint at that moment, on another thread and with an earlier time, took the endpoint as quiet: refused with 503, or 502 after a broken send.

--- a/src/serving/statement.rs
+++ b/src/serving/statement.rs
@@ -26,7 +26,9 @@
     {
         let mut state = endpoint.tracker.lock();
         state.leaving |= content.leaving;
-        state.quiet_until = state.quiet_until.max(now + head.quiet.unwrap_or_default());
+        if let Some(quiet) = head.quiet {
+            state.quiet_until = state.quiet_until.max(now + quiet);
+        }
     }
     let is_news = {
         let mut statements = node.statements.lock();
