--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -200,6 +200,14 @@
     let read = timeout(ctx.remaining(), read_whole(body, &node.memory)).await;
     let Ok(Some(bytes)) = read else {
         endpoint.tracker.lock().health.failed(node.now());
+        node.journal.line(|| {
+            spdlog::info!("relay: response incomplete", kv: {
+                request: = ctx.call.id,
+                endpoint: = endpoint.entry.id,
+                runs = ctx.runs,
+                left_ms = ctx.remaining().as_millis() as u64,
+            });
+        });
         return None;
     };
     node.pool_connection(&endpoint.entry.id, connection, head.keep_alive);
