Split single reads from the feeds and quotas from the limits

feed/read.rs has the reads of a table from the store and from the zone's reader, quota.rs what a limit applies to and who holds it.

--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -21,6 +21,7 @@
 pub mod peers;
 pub mod placer;
 pub mod quarantine;
+pub mod quota;
 pub mod rate;
 pub mod relay;
 pub mod send;
--- a/src/serving/peers/discover.rs
+++ b/src/serving/peers/discover.rs
@@ -81,7 +81,7 @@
 
 /// Reads the daemons' table; returns whether this daemon's row is there and up to date.
 async fn read_list(node: &Node, channel: &Channel) -> Result<bool, feed::Error> {
-    let page = feed::list(node, channel, DAEMON_TABLE).await?;
+    let page = feed::read::list(node, channel, DAEMON_TABLE).await?;
     let now = node.now();
     let mut is_registered = false;
     {
--- a/src/serving/placer/lease.rs
+++ b/src/serving/placer/lease.rs
@@ -88,7 +88,7 @@
         }
     }
     let requested_at = node.boot_now();
-    let page = feed::list(node, channel, LEASE_TABLE).await?;
+    let page = feed::read::list(node, channel, LEASE_TABLE).await?;
     let row = page.rows.iter().find(|row| &*row.key == LEASE_KEY);
     let lease = row.and_then(|row| {
         let lease: Lease = serde_json::from_slice(row.value.as_ref()?).ok()?;
