Do not keep removed endpoints for an outage that only this daemon or its reader had

Cause: after failed reads removals wait 2.1 s, as entries that lapsed while the store was away come back. The reader took its own cut for an outage of the store, and handed the wait to the daemons that follow it; the wait then ended with the next heartbeat, up to 1 s later in a large zone. Together that is more than the 3 s within which a removal must be in force.

Now the wait counts from the time at which a peer has shown rows that this daemon lacks: the store was there for others from then on. A follower that could read itself follows its reader's wait for 0.7 of the bound at most. Deferred removals are carried out within 200 ms of their time.

--- a/src/serving/feed/mod.rs
+++ b/src/serving/feed/mod.rs
@@ -104,6 +104,9 @@
     mirror: Mirror,
     freshness: Freshness,
     failing_since: Option<Duration>,
+    /// Time from which a peer has read rows that this daemon lacks while its own reads fail: the store is away for this
+    /// daemon only, or was until then.
+    others_read_since: Option<Duration>,
     /// Whether the last read was from the store, so that other daemons may follow this one.
     reads_store: bool,
     /// Time until which removed endpoints may register again.
@@ -133,21 +136,12 @@
 
     /// Records a read that succeeded and contains all changes before `proven_at`; returns whether it is the first after
     /// a failure.
-    fn succeeded(
-        &self,
-        source: &Source,
-        changes: &Changes,
-        proven_at: Duration,
-        now: Duration,
-    ) -> bool {
+    fn succeeded(&self, source: &Source, changes: &Changes, proven_at: Duration) -> bool {
         let mut state = self.state.lock();
         state.mirror.apply(changes);
         state.freshness.prove(proven_at);
         state.reads_store = *source == Source::Store;
         let was_failing = state.failing_since.take().is_some();
-        if was_failing {
-            state.defer_until = now + REREGISTRATION_TIME;
-        }
         drop(state);
         if !changes.rows.is_empty() {
             self.changed.notify_waiters();
@@ -155,6 +149,31 @@
         was_failing
     }
 
+    /// Records that a peer has read rows that this daemon lacks.
+    pub fn note_peer_ahead(&self, now: Duration) {
+        let mut state = self.state.lock();
+        if state.failing_since.is_some() {
+            state.others_read_since.get_or_insert(now);
+        }
+    }
+
+    /// Sets until when removals are deferred, before the changes of a read are applied. After failed reads, entries may
+    /// have lapsed that come back; those that the store has had time to take back are gone. `deferral` is the source's: a
+    /// daemon that could read all the time does not follow it for longer than `max_deferral`, as the store may have been
+    /// away for its reader only.
+    fn note_return(&self, deferral: Duration, max_deferral: Duration, now: Duration) {
+        let mut state = self.state.lock();
+        let others_read_since = state.others_read_since.take();
+        let deferral = match state.failing_since {
+            Some(_) => {
+                state.defer_until = others_read_since.unwrap_or(now) + REREGISTRATION_TIME;
+                deferral
+            }
+            None => deferral.min(max_deferral),
+        };
+        state.defer_until = state.defer_until.max(now + deferral);
+    }
+
     /// Defers removals if changes are the first ones since the store was restored from a copy: what was written after the
     /// copy is written again. Returns whether they are.
     fn note_restore(&self, version: u64, now: Duration) -> bool {
@@ -195,12 +214,6 @@
         self.state.lock().defer_until
     }
 
-    /// Defers removals at least until a time at which the reader does.
-    fn defer(&self, until: Duration) {
-        let mut state = self.state.lock();
-        state.defer_until = state.defer_until.max(until);
-    }
-
     /// Waits until the table has changed after a version, for at most `wait`; `None` if this daemon does not read the
     /// store.
     pub async fn follow(
@@ -284,8 +297,11 @@
         let now = node.now();
         has_failed = result.is_err();
         match result {
-            Ok((changes, proven_at)) => {
+            Ok(update) => {
                 selector.succeeded(&source);
+                feed.note_return(update.deferral, max_age(node, table) * 7 / 10, now);
+                let changes = update.changes;
+                let proven_at = now.saturating_sub(update.age);
                 if feed.note_restore(changes.version, now) {
                     spdlog::warn!("feed: store was restored from a copy", kv: {
                         table:? = table,
@@ -295,7 +311,7 @@
                     node.peers.list_again();
                 }
                 apply(node, table, &changes);
-                if feed.succeeded(&source, &changes, proven_at, now) {
+                if feed.succeeded(&source, &changes, proven_at) {
                     spdlog::info!("feed: regained", kv: {
                         table:? = table,
                         source:? = source,
--- a/src/serving/feed/read.rs
+++ b/src/serving/feed/read.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 use tokio::time::timeout;
 
-use super::{Error, RECOVERY_POLL_WAIT, Table, feed, max_age, table_name};
+use super::{Error, RECOVERY_POLL_WAIT, Table, Update, max_age, table_name};
 use crate::coordination::reader::Source;
 use crate::serving::Node;
 use crate::serving::peers::source;
@@ -21,7 +21,7 @@
 /// Timeout of a call, in addition to the time of a long poll.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// Reads changes; returns them with the time before which all changes are known.
+/// Reads changes.
 pub(super) async fn read(
     node: &Node,
     table: Table,
@@ -29,10 +29,9 @@
     channel: &mut Channel,
     version: Option<u64>,
     poll_wait: Duration,
-) -> Result<(Changes, Duration), Error> {
-    let started = node.now();
+) -> Result<Update, Error> {
     match (source, version) {
-        (Source::Store, None) => Ok((read_all(node, table, channel).await?, started)),
+        (Source::Store, None) => read_all(node, table, channel).await,
         (Source::Store, Some(after)) => {
             let (result, other) = poll_with_spare(node, table, channel, after, poll_wait).await;
             if let Some(other) = other {
@@ -45,21 +44,19 @@
             if update.age > max_age(node, table) {
                 return Err(Error::Outdated(reader.clone(), update.age));
             }
-            let now = node.now();
-            feed(node, table).defer(now + update.deferral);
-            Ok((update.changes, now.saturating_sub(update.age)))
+            Ok(update)
         }
     }
 }
 
-/// Polls the store for changes; returns them with the time before which all changes are known.
+/// Polls the store for changes.
 async fn poll(
     node: &Node,
     table: Table,
     channel: &Channel,
     after: u64,
     wait: Duration,
-) -> Result<(Changes, Duration), Error> {
+) -> Result<Update, Error> {
     let started = node.now();
     let request = (node.codec.follow)(table_name(node, table), after, wait);
     let page = fetch(node, channel, request, wait + CALL_TIMEOUT).await?;
@@ -76,7 +73,7 @@
         version: page.version,
         all: false,
     };
-    Ok((changes, started + waited))
+    Ok(from_store(node, changes, started + waited))
 }
 
 /// Polls the store, and once more on another connection if the response is late, as the first connection may be dead
@@ -87,7 +84,7 @@
     channel: &Channel,
     after: u64,
     wait: Duration,
-) -> (Result<(Changes, Duration), Error>, Option<Channel>) {
+) -> (Result<Update, Error>, Option<Channel>) {
     let started = node.now();
     let other = Channel::open(node.settings.store_address);
     let (result, is_other) = {
@@ -127,13 +124,24 @@
     });
 }
 
-async fn read_all(node: &Node, table: Table, channel: &Channel) -> Result<Changes, Error> {
+async fn read_all(node: &Node, table: Table, channel: &Channel) -> Result<Update, Error> {
+    let started = node.now();
     let page = list(node, channel, table_name(node, table)).await?;
-    Ok(Changes {
+    let changes = Changes {
         rows: page.rows,
         version: page.version,
         all: true,
-    })
+    };
+    Ok(from_store(node, changes, started))
+}
+
+/// Changes that the store has returned, with all of those before `proven_at`.
+fn from_store(node: &Node, changes: Changes, proven_at: Duration) -> Update {
+    Update {
+        changes,
+        deferral: Duration::ZERO,
+        age: node.now().saturating_sub(proven_at),
+    }
 }
 
 /// Reads all rows of a table.
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -68,6 +68,9 @@
 /// Interval at which idle connections are pruned and dropped log lines are reported.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which deferred removals are carried out; heartbeats of a large fleet are too far apart for them.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time after SIGTERM for which new connections are still accepted, because the platform's load balancer reacts only
 /// after two failed checks.
 const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(2500);
@@ -291,6 +294,7 @@
         tasks.spawn(peers::sender::run(node.clone()));
         tasks.spawn(peers::receiver::run(node.clone()));
         tasks.spawn(placer::run(node.clone()));
+        tasks.spawn(expire(node.clone()));
         tasks.spawn(sweep(node.clone()));
         let stopped = node.stopped.clone();
         for (listener, role, shutdown) in [
@@ -407,6 +411,17 @@
     time.mul_f64(rand::rng().random_range(0.8..1.2))
 }
 
+/// Carries out deferred removals and drops expired reports of peers until the daemon stops.
+async fn expire(node: Arc<Node>) {
+    let task = async {
+        loop {
+            tokio::time::sleep(EXPIRY_INTERVAL).await;
+            node.fleet.expire_reports(node.now());
+        }
+    };
+    node.until_stopped(task).await;
+}
+
 async fn sweep(node: Arc<Node>) {
     loop {
         tokio::select! {
--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -112,6 +112,12 @@
         node.fleet.apply_peer_report(&state.gone, &state.out, now);
     }
     let (operator, endpoints) = node.fleet.known_versions();
+    if state.operator > operator {
+        node.operator_feed.note_peer_ahead(now);
+    }
+    if state.endpoints > endpoints {
+        node.endpoint_feed.note_peer_ahead(now);
+    }
     let catalog = node.fleet.catalog.load();
     let version = catalog.as_ref().map_or(0, |catalog| catalog.version);
     if state.catalog > version && (feed_stale || catalog.is_none()) {
--- a/src/serving/peers/sender.rs
+++ b/src/serving/peers/sender.rs
@@ -58,7 +58,6 @@
 
 fn send_heartbeat(node: &Node, to_all: bool) {
     let now = node.now();
-    node.fleet.expire_reports(now);
     node.peers.update_names(&node.settings, now);
     for flights in node.peers.take_flights_of_silent(&node.settings, now) {
         update_remote_in_flight(node, &flights, &BTreeMap::new());
