Log a digest by which attempts of one request are recognized

Attempts of one request have identifiers of their own, and no log line tied two of them together, so that the hypotheses of docs/incidents/crashing-request.md could not be told apart. relay: broken, relay: response incomplete and stream: broken now name a digest of method, host, path, caller and body. Nothing is decided by it.

--- a/src/serving/admit.rs
+++ b/src/serving/admit.rs
@@ -69,6 +69,13 @@
     pub priority: u8,
 }
 
+impl Admission {
+    /// Name that identifies the caller: that of its workspace, or an empty one.
+    pub fn caller(&self) -> &str {
+        self.workspace.as_ref().map_or("", |it| &it.name)
+    }
+}
+
 /// Admits a call that arrived at `arrived`.
 ///
 /// # Errors
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -12,7 +12,7 @@
 use super::admit::{Admission, Refusal};
 use super::choose::{self, Choice, Unavailable};
 use super::send::{Context, Exchange, FULL_PAUSE, Outcome, Pending, Phase};
-use super::{Node, quarantine, stream};
+use super::{Node, journal, quarantine, stream};
 use crate::protocol::connection;
 use crate::state::call::Call;
 use crate::transport::body::read_whole;
@@ -204,6 +204,7 @@
             spdlog::info!("relay: response incomplete", kv: {
                 request: = ctx.call.id,
                 endpoint: = endpoint.entry.id,
+                content: = journal::hex(&[ctx.content()]),
                 runs = ctx.runs,
                 left_ms = ctx.remaining().as_millis() as u64,
             });
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -187,6 +187,11 @@
 }
 
 impl Context {
+    /// Digest by which this request is recognized when it comes again.
+    pub fn content(&self) -> u64 {
+        self.call.content(self.admission.caller())
+    }
+
     /// Time left until the deadline.
     pub fn remaining(&self) -> Duration {
         self.admission.deadline.saturating_sub(self.node.now())
@@ -339,7 +344,9 @@
                 let tracker = &choice.endpoint.tracker;
                 tracker.lock().health.failed(self.node.now());
                 self.count_run(&choice);
-                let detail = format!("parts={} {error}", journal::hex(&self.call.shared_parts()));
+                let content = self.content();
+                let parts = journal::hex(&self.call.shared_parts());
+                let detail = format!("content={content:x} parts={parts} {error}");
                 self.log("broken", &choice, &detail);
                 Outcome::Broken
             }
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -469,6 +469,7 @@
                 because = outcome.err().unwrap_or("-"),
                 silent_ms = silent.as_millis() as u64,
                 since_head_ms = since_head.as_millis() as u64,
+                content: = journal::hex(&[self.ctx.content()]),
                 parts: = journal::hex(&self.ctx.call.shared_parts()),
                 runs = self.ctx.runs,
             });
--- a/src/state/call.rs
+++ b/src/state/call.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::record::Name;
 use crate::coordination::statement::Content;
@@ -89,6 +90,37 @@
         generation.map_or_else(Vec::new, Generation::shared_parts)
     }
 
+    /// Digest of what two attempts of one request have in common: method, host, target, caller and body. The upper half
+    /// does not depend on the body, so that most other requests can be told from it without a pass over their bodies.
+    ///
+    /// ```
+    /// use bytes::Bytes;
+    /// use http::{HeaderMap, Method};
+    /// use persimmoncroft::state::call::Call;
+    /// let call = |id: &str, body: &'static str| Call {
+    ///     id: id.into(), host: "shop.example".into(), method: Method::POST, target: "/orders".to_owned(), key: None,
+    ///     generation: None, tokens_stated: false, time_left: None, last_event: None, headers: HeaderMap::new(),
+    ///     body: Bytes::from(body),
+    /// };
+    /// let first = call("1", "a").content("team");
+    /// assert_eq!(call("2", "a").content("team"), first);
+    /// assert_ne!(call("3", "b").content("team"), first);
+    /// assert_eq!(call("3", "b").outline("team"), (first >> 32) as u32);
+    /// ```
+    pub fn content(&self, caller: &str) -> u64 {
+        let outline = self.outline(caller);
+        let whole = xxh3_64_with_seed(&self.body, u64::from(outline));
+        u64::from(outline) << 32 | whole >> 32
+    }
+
+    /// Upper half of [`content`](Self::content).
+    pub fn outline(&self, caller: &str) -> u32 {
+        let fields = [self.method.as_str(), &self.host, &self.target, caller];
+        let chain = |seed, field: &str| xxh3_64_with_seed(field.as_bytes(), seed);
+        let digest = fields.into_iter().fold(0, chain);
+        (digest >> 32) as u32
+    }
+
     /// Returns the sum of prompt and output tokens, if stated.
     pub fn tokens(&self) -> Option<u64> {
         let generation = self.generation.as_ref().filter(|_| self.tokens_stated)?;
