--- a/src/coordination/attribution.rs
+++ b/src/coordination/attribution.rs
@@ -1,9 +1,10 @@
-//! Attribution of crashes to groups of parts that no report tells apart.
+//! Attribution of crashes to groups of digests that no report tells apart.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::time::Duration;
 
+use super::held::has_content;
 use super::quarantine::{Occurrence, Suspect};
 
 /// Number of crashes from which a group of parts is held.
@@ -51,12 +52,13 @@
     }
 }
 
-/// Explains crashes by groups of parts: first by groups that are not vouched for, among them by the one with the
-/// most crashes, and among these by the one with the fewest occurrences. Crashes that a group explains don't count
-/// for those after it.
+/// Explains crashes by groups: first by groups that are not vouched for, among them by the one with the most crashes,
+/// and among these by the one with the fewest occurrences. Crashes that a group explains don't count for those after
+/// it. A group with a whole request counts as having no occurrences: holding it refuses no other request, and one that
+/// crashes endpoints may have been sent to one of them several times.
 pub(super) fn attribute(
     evidence: &VecDeque<Evidence>,
-    counts: &HashMap<u64, usize>,
+    counts: &BTreeMap<u64, usize>,
 ) -> Vec<Finding> {
     let mut groups = groups(evidence, counts);
     let mut explained: HashSet<u64> = HashSet::new();
@@ -69,7 +71,11 @@
                 true => MIN_VOUCHED_CRASHES,
                 false => MIN_CRASHES,
             };
-            let rank = (group.is_vouched, Reverse(crashes), group.occurrences.len());
+            let occurrences = match has_content(&group.parts) {
+                true => 0,
+                false => group.occurrences.len(),
+            };
+            let rank = (group.is_vouched, Reverse(crashes), occurrences);
             (crashes >= min_crashes).then_some(rank)
         };
         let Some(best) = groups.iter().filter_map(rank).min() else {
@@ -87,7 +93,7 @@
 }
 
 /// Groups of parts that have enough crashes to be held.
-fn groups(evidence: &VecDeque<Evidence>, counts: &HashMap<u64, usize>) -> Vec<Group> {
+fn groups(evidence: &VecDeque<Evidence>, counts: &BTreeMap<u64, usize>) -> Vec<Group> {
     let mut by_part: BTreeMap<u64, (Vec<usize>, bool)> = BTreeMap::new();
     for (at, it) in evidence.iter().enumerate() {
         let suspects = it.occurrence.parts.iter();
--- a/src/coordination/held.rs
+++ b/src/coordination/held.rs
@@ -3,12 +3,25 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::state::call::CONTENT_BIT;
+
 /// Time for which a group with many crashes is held after the last one.
 pub(super) const LONG_HOLD: Duration = Duration::from_secs(600);
 
 /// Time after the last crash of a hold from which a probe is let through: 3 s.
 const PROBE_DELAY: Duration = Duration::from_secs(3);
 
+/// Time for which a group with a whole request is held: 24 h.
+pub(super) const CONTENT_HOLD: Duration = Duration::from_secs(24 * 3600);
+
+/// Maximum number of probes of a group with a whole request, over all daemons.
+const MAX_CONTENT_PROBES: u32 = 2;
+
+/// Time after the first probe of a group with a whole request from which the second one is let through: 60 s.
+const SECOND_PROBE_DELAY: Duration = Duration::from_secs(60);
+
 /// Time after which a probe of which nothing was heard is taken not to have reached an endpoint: 2 s.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -27,6 +40,10 @@
     pub(super) is_adopted: bool,
     /// Time at which the last probe was let through.
     pub(super) probed_at: Option<Duration>,
+    /// Number of probes that were let through, as far as known.
+    pub(super) probes: u32,
+    /// Key under which it is stored.
+    pub(super) stored_as: Option<u64>,
     /// Whether a probe has crashed an endpoint.
     pub(super) is_confirmed: bool,
     /// Announcements that have set its end. Each sets it once: daemons that return a hold to each other would prolong it
@@ -78,6 +95,7 @@
     /// Takes over what is known of the probes of another hold.
     pub(super) fn take_probes(&mut self, other: &Held) {
         self.probed_at = self.probed_at.max(other.probed_at);
+        self.probes = self.probes.max(other.probes);
         self.is_confirmed |= other.is_confirmed;
     }
 
@@ -91,7 +109,7 @@
         self.extend(&Held {
             last_crash: crash,
             last_crash_at: at,
-            until: at + LONG_HOLD,
+            until: at + full_time(&self.parts),
             ..self.clone()
         });
         self.announce(self.announcement());
@@ -102,8 +120,32 @@
     }
 
     pub(super) fn may_be_probed(&self, now: Duration) -> bool {
-        let has_no_open_probe = self.probed_at.is_none_or(|at| now >= at + PROBE_TIMEOUT);
-        !self.is_confirmed && has_no_open_probe && now >= self.last_crash_at + PROBE_DELAY
+        let (pause, has_probes_left) = match has_content(&self.parts) {
+            true => (SECOND_PROBE_DELAY, self.probes < MAX_CONTENT_PROBES),
+            false => (PROBE_TIMEOUT, true),
+        };
+        let has_no_open_probe = self.probed_at.is_none_or(|at| now >= at + pause);
+        let is_due = has_no_open_probe && now >= self.last_crash_at + PROBE_DELAY;
+        !self.is_confirmed && has_probes_left && is_due
+    }
+
+    /// Key by which daemons agree on it.
+    pub(super) fn key(&self) -> u64 {
+        let chain = |seed, part: &u64| xxh3_64_with_seed(&part.to_le_bytes(), seed);
+        self.parts.iter().fold(0, chain)
+    }
+}
+
+/// Whether a whole request is in a group.
+pub(super) fn has_content(parts: &[u64]) -> bool {
+    parts.iter().any(|part| part & CONTENT_BIT != 0)
+}
+
+/// Time for which a group is held at most.
+pub(super) fn full_time(parts: &[u64]) -> Duration {
+    match has_content(parts) {
+        true => CONTENT_HOLD,
+        false => LONG_HOLD,
     }
 }
 
--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -1,13 +1,17 @@
-//! Quarantine of prompt parts that crash endpoints.
+//! Quarantine of requests and prompt parts that crash endpoints.
 //!
-//! Each daemon reports the requests that had just got their response head when an endpoint ended. A part that accounts
-//! for several crashes is held: requests that contain it are refused. Parts that no report tells apart are held
-//! together, so that a request that shares only some of them still runs and shows which of them is the cause. A part of
-//! a request that outlived its start is sound.
+//! Each daemon reports the requests that had no response yet, or had just got its head, when an endpoint ended. What is
+//! reported of a request are the parts of its prompt and its content: a digest that its attempts share. Both are called
+//! parts here. A part that accounts for several crashes is held: requests that contain it are refused. Parts that no
+//! report tells apart are held together, so that a request that shares only some of them still runs and shows which of
+//! them is the cause. A part of a request that outlived its start is sound.
 //!
 //! A hold keeps away the requests that could show that its parts are sound. Some time after its last crash, a single
 //! request with them is let through as a probe: if it outlives its start, the parts are released, and if it crashes its
-//! endpoint, the hold is confirmed and gets no further probe.
+//! endpoint, the hold is confirmed and gets no further probe. A hold of a content gets two probes at most, since the
+//! number of its retries is limited for good.
+//!
+//! Long holds are to be kept outside the daemons, so that they outlive them.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -16,7 +20,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::attribution::{self, Evidence, Finding, MIN_CRASHES, contains, count_crashes};
-use super::held::{Announcement, Held, LONG_HOLD, is_within};
+use super::held::{Announcement, Held, full_time, has_content, is_within};
+use crate::state::call::CONTENT_BIT;
 
 /// Time for which an occurrence counts, and for which a hold is remembered after its end: 10 min.
 const EVIDENCE_TTL: Duration = Duration::from_secs(600);
@@ -24,7 +29,7 @@
 /// Time for which a part that was sound is vouched for: 60 s.
 const VOUCHING_TTL: Duration = Duration::from_secs(60);
 
-/// Number of crashes from which a group is held for [`LONG_HOLD`], unless its parts are all vouched for.
+/// Number of crashes from which a group is held for ten minutes, unless its parts are all vouched for.
 const LONG_HOLD_CRASHES: usize = 5;
 
 /// Time for which a group is held after its last crash.
@@ -42,12 +47,21 @@
 /// Maximum number of sound parts that are remembered; beyond it, the least recently used half is dropped.
 const MAX_SOUND_PARTS: usize = 8192;
 
-/// Maximum number of holds; beyond it, those that end first are dropped.
+/// Maximum number of holds of prompt parts; beyond it, those that end first are dropped.
 const MAX_HOLDS: usize = 64;
 
-/// Maximum number of holds that are announced to peers.
+/// Maximum number of holds of contents; beyond it, those that end first are dropped.
+const MAX_CONTENT_HOLDS: usize = 1024;
+
+/// Maximum number of holds of prompt parts that are announced to peers.
 const MAX_ANNOUNCED_HOLDS: usize = 16;
 
+/// Maximum number of holds of contents that are announced to peers; the others are stored.
+const MAX_ANNOUNCED_CONTENT_HOLDS: usize = 16;
+
+/// Time after their last crash for which holds of contents are announced to peers: 60 s.
+const CONTENT_ANNOUNCEMENT_TIME: Duration = Duration::from_secs(60);
+
 /// Maximum number of parts of a hold that is announced to peers.
 const MAX_ANNOUNCED_PARTS: usize = 16;
 
@@ -97,6 +111,30 @@
     /// Whether a probe has crashed an endpoint.
     #[serde(rename = "f", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_confirmed: bool,
+    /// Key under which the hold is stored.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub stored_as: Option<u64>,
+}
+
+/// A hold that is to be stored.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unstored {
+    /// Key to store it under.
+    pub key: u64,
+    /// Key under which an earlier state of it is stored.
+    pub replaces: Option<u64>,
+    /// The hold, without its age.
+    pub hold: Hold,
+}
+
+/// Permission to send a request that is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// The request may be sent.
+    Free,
+    /// The request may be sent by the daemon that takes this probe first, by the key of the hold and the number of the
+    /// probe.
+    Numbered(u64, u32),
 }
 
 /// Evidence against parts of prompts, and the holds that follow from it.
@@ -119,9 +157,11 @@
 pub struct Quarantine {
     evidence: VecDeque<Evidence>,
     /// Number of occurrences by part.
-    counts: HashMap<u64, usize>,
+    counts: BTreeMap<u64, usize>,
     sound: HashMap<u64, Duration>,
     holds: Vec<Held>,
+    /// Keys of stored holds that were released here.
+    released: BTreeSet<u64>,
 }
 
 impl Quarantine {
@@ -158,15 +198,24 @@
         }
         self.note_crash(&occurrence, now);
         let mut may_be_held = false;
+        let mut has_come_again = false;
         for suspect in &occurrence.parts {
             let count = self.counts.entry(suspect.part).or_default();
             *count += 1;
             may_be_held |= *count >= MIN_CRASHES;
+            has_come_again |= *count > 1 && suspect.part & CONTENT_BIT != 0;
+        }
+        if has_come_again {
+            self.keep_evidence(&occurrence, now);
         }
+        let ttl = match has_come_again {
+            true => full_time(&parts_of(&occurrence)),
+            false => EVIDENCE_TTL,
+        };
         self.evidence.push_back(Evidence {
             occurrence,
             seen_at: now,
-            expires_at: now + EVIDENCE_TTL,
+            expires_at: now + ttl,
         });
         if self.evidence.len() > MAX_OCCURRENCES
             && let Some(oldest) = self.evidence.pop_front()
@@ -179,6 +228,38 @@
         true
     }
 
+    /// Keeps the evidence against a content that has come again for as long as the content would be held.
+    fn keep_evidence(&mut self, occurrence: &Occurrence, now: Duration) {
+        let parts = parts_of(occurrence);
+        let is_content = |part: &&u64| **part & CONTENT_BIT != 0;
+        for content in parts.iter().filter(is_content) {
+            for evidence in &mut self.evidence {
+                if contains(&evidence.occurrence, &[*content]) {
+                    evidence.expires_at = evidence.expires_at.max(now + full_time(&parts));
+                }
+            }
+        }
+    }
+
+    /// Whether a content with this upper half is held or has occurred in a crash.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let mut quarantine = Quarantine::default();
+    /// let hold = Hold { parts: vec![0x8000_0007_1234_5678], left_millis: 20_000, ..Hold::default() };
+    /// quarantine.adopt(hold, Duration::ZERO);
+    /// assert!(quarantine.has_outline(0x8000_0007));
+    /// assert!(!quarantine.has_outline(0x8000_0008));
+    /// ```
+    pub fn has_outline(&self, outline: u32) -> bool {
+        let first = u64::from(outline) << 32;
+        let last = first | u64::from(u32::MAX);
+        let mut held = self.holds.iter().flat_map(|hold| &hold.parts);
+        self.counts.range(first..=last).next().is_some()
+            || held.any(|part| (first..=last).contains(part))
+    }
+
     /// Records that a request with these parts has outlived its start. Returns those of them that were held or had
     /// occurred in two or more crashes, in ascending order: peers have to learn that they are sound.
     ///
@@ -244,7 +325,11 @@
         for hold in &mut holds {
             hold.parts.retain(|part| !parts.contains(part));
         }
-        for hold in holds.into_iter().filter(|hold| !hold.parts.is_empty()) {
+        let (left, released): (Vec<Held>, Vec<Held>) =
+            holds.into_iter().partition(|hold| !hold.parts.is_empty());
+        let released = released.iter().filter_map(|hold| hold.stored_as);
+        self.released.extend(released);
+        for hold in left {
             self.merge(hold);
         }
         if changed {
@@ -319,34 +404,39 @@
 
     /// Whether a request with these parts, which are held, may be sent as a probe. The caller sends it if so: until the
     /// probe's outcome is known, further ones are only allowed after a timeout. A daemon that asks this must be the only
-    /// one that does so for the hold that [`Self::matching`] tells.
+    /// one that does so for the hold that [`Self::matching`] tells, as far as it knows.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// use persimmoncroft::coordination::quarantine::{Hold, Probe, Quarantine};
     /// let mut quarantine = Quarantine::default();
     /// let hold = Hold { parts: vec![1], left_millis: 30_000, ..Hold::default() };
     /// quarantine.adopt(hold, Duration::ZERO);
-    /// assert!(!quarantine.probe(&[1, 2], Duration::from_secs(2)));
-    /// assert!(quarantine.probe(&[1, 2], Duration::from_secs(3)));
-    /// assert!(!quarantine.probe(&[1, 2], Duration::from_secs(4)));
+    /// assert_eq!(quarantine.probe(&[1, 2], Duration::from_secs(2)), None);
+    /// assert_eq!(quarantine.probe(&[1, 2], Duration::from_secs(3)), Some(Probe::Free));
+    /// assert_eq!(quarantine.probe(&[1, 2], Duration::from_secs(4)), None);
     /// ```
-    pub fn probe(&mut self, parts: &[u64], now: Duration) -> bool {
+    pub fn probe(&mut self, parts: &[u64], now: Duration) -> Option<Probe> {
         let holds = self.holds.iter_mut();
         let mut matching = holds.filter(|hold| now < hold.until && hold.matches(parts));
         // A crash would not show which of several holds it is due to.
         let (Some(hold), None) = (matching.next(), matching.next()) else {
-            return false;
+            return None;
         };
-        let is_allowed = hold.may_be_probed(now);
-        if is_allowed {
-            hold.probed_at = Some(now);
+        if !hold.may_be_probed(now) {
+            return None;
+        }
+        hold.probed_at = Some(now);
+        hold.probes += 1;
+        match has_content(&hold.parts) {
+            true => Some(Probe::Numbered(hold.key(), hold.probes)),
+            false => Some(Probe::Free),
         }
-        is_allowed
     }
 
-    /// Holds in force, for peers that do not have the evidence: the 16 that end last, in this order. Groups of more than
-    /// 16 parts are held by this daemon but not announced.
+    /// Holds in force, for peers that do not have the evidence: of those of prompt parts the 16 that end last, in this
+    /// order, then of those of contents the 16 with the latest crashes within the last minute. Groups of more than 16
+    /// parts are held by this daemon but not announced.
     ///
     /// ```
     /// use std::time::Duration;
@@ -360,18 +450,125 @@
     pub fn holds(&self, now: Duration) -> Vec<Hold> {
         let active = self.holds.iter().filter(|hold| now < hold.until);
         let short = active.filter(|hold| hold.parts.len() <= MAX_ANNOUNCED_PARTS);
-        let mut holds: Vec<&Held> = short.collect();
+        let (mut contents, mut holds): (Vec<&Held>, Vec<&Held>) =
+            short.partition(|hold| has_content(&hold.parts));
         holds.sort_by_key(|hold| (Reverse(hold.until), &hold.parts));
         holds.truncate(MAX_ANNOUNCED_HOLDS);
-        let holds = holds.into_iter().map(|hold| Hold {
-            parts: hold.parts.clone(),
-            left_millis: (hold.until - now).as_millis() as u64,
-            crashes: hold.crashes,
-            last_crash: hold.last_crash,
-            age_millis: now.saturating_sub(hold.last_crash_at).as_millis() as u64,
-            is_confirmed: hold.is_confirmed,
+        contents.retain(|hold| now < hold.last_crash_at + CONTENT_ANNOUNCEMENT_TIME);
+        contents.sort_by_key(|hold| (Reverse(hold.last_crash_at), &hold.parts));
+        contents.truncate(MAX_ANNOUNCED_CONTENT_HOLDS);
+        let holds = holds.into_iter().chain(contents);
+        holds.map(|hold| announce(hold, now)).collect()
+    }
+
+    /// Number of holds in force.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let mut quarantine = Quarantine::default();
+    /// quarantine.adopt(Hold { parts: vec![1], left_millis: 20_000, ..Hold::default() }, Duration::ZERO);
+    /// assert_eq!(quarantine.count(Duration::from_secs(1)), 1);
+    /// assert_eq!(quarantine.count(Duration::from_secs(21)), 0);
+    /// ```
+    pub fn count(&self, now: Duration) -> usize {
+        let active = self.holds.iter().filter(|hold| now < hold.until);
+        active.count()
+    }
+
+    /// Long holds in force that are not stored, or not in their present state.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let mut quarantine = Quarantine::default();
+    /// let hold = Hold { parts: vec![1 << 63], left_millis: 20_000, ..Hold::default() };
+    /// quarantine.adopt(hold, Duration::ZERO);
+    /// let unstored = quarantine.unstored(Duration::ZERO);
+    /// assert_eq!(unstored[0].hold.parts, [1 << 63]);
+    /// quarantine.stored(unstored[0].key);
+    /// assert!(quarantine.unstored(Duration::ZERO).is_empty());
+    /// ```
+    pub fn unstored(&self, now: Duration) -> Vec<Unstored> {
+        let active = self.holds.iter().filter(|hold| now < hold.until);
+        let long = active.filter(|hold| {
+            let is_long = hold.is_confirmed || hold.crashes >= LONG_HOLD_CRASHES;
+            has_content(&hold.parts) || is_long
+        });
+        let unstored = long.filter(|hold| hold.stored_as != Some(hold.key()));
+        let unstored = unstored.map(|hold| {
+            let key = hold.key();
+            Unstored {
+                key,
+                replaces: hold.stored_as,
+                hold: Hold {
+                    age_millis: 0,
+                    stored_as: Some(key),
+                    ..announce(hold, now)
+                },
+            }
         });
-        holds.collect()
+        unstored.collect()
+    }
+
+    /// Records that a hold is stored in its present state.
+    pub fn stored(&mut self, key: u64) {
+        let holds = self.holds.iter_mut();
+        for hold in holds.filter(|hold| hold.key() == key) {
+            hold.stored_as = Some(key);
+        }
+    }
+
+    /// Takes the keys of stored holds that are not in force any more.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let mut quarantine = Quarantine::default();
+    /// let hold = Hold { parts: vec![1], left_millis: 20_000, stored_as: Some(7), ..Hold::default() };
+    /// quarantine.restore(hold, Duration::ZERO);
+    /// assert!(quarantine.take_released(Duration::ZERO).is_empty());
+    /// assert_eq!(quarantine.take_released(Duration::from_secs(20)), [7]);
+    /// assert!(quarantine.take_released(Duration::from_secs(20)).is_empty());
+    /// ```
+    pub fn take_released(&mut self, now: Duration) -> Vec<u64> {
+        let ended = self.holds.iter_mut().filter(|hold| now >= hold.until);
+        let ended = ended.filter_map(|hold| hold.stored_as.take());
+        self.released.extend(ended);
+        let active = self.holds.iter().filter(|hold| now < hold.until);
+        let stored: BTreeSet<u64> = active.filter_map(|hold| hold.stored_as).collect();
+        let released = std::mem::take(&mut self.released);
+        released.difference(&stored).copied().collect()
+    }
+
+    /// Has the removal of a stored hold tried again.
+    pub fn release_again(&mut self, key: u64) {
+        self.released.insert(key);
+    }
+
+    /// Adopts a hold that was stored, unless a content of it was found sound since.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let mut quarantine = Quarantine::default();
+    /// let hold = Hold { parts: vec![1 << 63], left_millis: 20_000, stored_as: Some(7), ..Hold::default() };
+    /// quarantine.survived(&[1 << 63], Duration::ZERO);
+    /// quarantine.restore(hold, Duration::ZERO);
+    /// assert_eq!(quarantine.count(Duration::ZERO), 0);
+    /// assert_eq!(quarantine.take_released(Duration::ZERO), [7]);
+    /// ```
+    pub fn restore(&mut self, hold: Hold, now: Duration) {
+        let is_sound = |part: &u64| part & CONTENT_BIT != 0 && self.sound.contains_key(part);
+        if hold.parts.iter().any(is_sound) {
+            self.released.extend(hold.stored_as);
+            return;
+        }
+        let known = self.holds.iter_mut().find(|it| it.parts == hold.parts);
+        match known {
+            Some(known) => known.stored_as = hold.stored_as,
+            None => drop(self.adopt(hold, now)),
+        }
     }
 
     /// Adopts a peer's hold; of two holds of the same parts, the longer time counts. Parts that were found sound after
@@ -395,8 +592,8 @@
     pub fn adopt(&mut self, hold: Hold, now: Duration) -> Vec<u64> {
         self.expire(now);
         let full_time = match hold.is_confirmed {
-            true => LONG_HOLD,
-            false => hold_time(hold.crashes),
+            true => full_time(&hold.parts),
+            false => hold_time(&hold.parts, hold.crashes),
         };
         let left = Duration::from_millis(hold.left_millis).min(full_time);
         let last_crash_at = now.saturating_sub(Duration::from_millis(hold.age_millis));
@@ -433,6 +630,8 @@
             until: now + left,
             is_adopted: true,
             probed_at: None,
+            probes: 0,
+            stored_as: hold.stored_as,
             is_confirmed: hold.is_confirmed,
             announced: [announcement].into(),
         });
@@ -444,6 +643,7 @@
         let known = self.holds.iter_mut().find(|it| it.parts == hold.parts);
         if let Some(known) = known {
             known.take_probes(&hold);
+            known.stored_as = hold.stored_as.or(known.stored_as);
             let announced = hold.announced.iter();
             let news = announced.filter(|it| known.announce(**it));
             if news.count() > 0 && known.extend(&hold) {
@@ -451,10 +651,18 @@
             }
             return;
         }
+        let is_content = has_content(&hold.parts);
+        let max_holds = match is_content {
+            true => MAX_CONTENT_HOLDS,
+            false => MAX_HOLDS,
+        };
         self.holds.push(hold);
-        if self.holds.len() > MAX_HOLDS {
-            self.holds.sort_by_key(|hold| Reverse(hold.until));
-            self.holds.truncate(MAX_HOLDS);
+        let holds = self.holds.iter().enumerate();
+        let same_kind = holds.filter(|(_, it)| has_content(&it.parts) == is_content);
+        if same_kind.clone().count() > max_holds {
+            let first = same_kind.min_by_key(|(_, it)| it.until);
+            let first = first.map(|(at, _)| at);
+            first.map(|at| self.holds.remove(at));
         }
     }
 
@@ -492,7 +700,7 @@
 
     /// Takes note of an occurrence for the holds of which its crash is a new one.
     fn note_crash(&mut self, occurrence: &Occurrence, now: Duration) {
-        let parts: Vec<u64> = occurrence.parts.iter().map(|it| it.part).collect();
+        let parts = parts_of(occurrence);
         for hold in self.holds.iter_mut().filter(|hold| hold.matches(&parts)) {
             let same_crash = self.evidence.iter().map(|it| &it.occurrence);
             let mut same_crash = same_crash.filter(|it| it.crash == occurrence.crash);
@@ -545,9 +753,14 @@
             until: last.seen_at,
             is_adopted: false,
             probed_at: None,
+            probes: 0,
+            stored_as: None,
             is_confirmed: false,
             announced: VecDeque::new(),
         };
+        // It has crashed endpoints since it was found sound, if it ever was.
+        self.sound
+            .retain(|part, _| part & CONTENT_BIT == 0 || !hold.parts.contains(part));
         // Parts that a new report tells apart have been probed together.
         for wider in &self.holds {
             if is_within(&hold.parts, &wider.parts) {
@@ -555,9 +768,9 @@
             }
         }
         hold.until = match (hold.is_confirmed, group.is_vouched) {
-            (true, _) => last.seen_at + LONG_HOLD,
-            (false, true) => last.seen_at + SHORT_HOLD,
-            (false, false) => last.seen_at + hold_time(*crashes),
+            (true, _) => last.seen_at + full_time(&hold.parts),
+            (false, true) if !has_content(&hold.parts) => last.seen_at + SHORT_HOLD,
+            (false, _) => last.seen_at + hold_time(&hold.parts, *crashes),
         };
         // The next crash after the hold counts together with those before it.
         for at in &group.occurrences {
@@ -583,8 +796,25 @@
     }
 }
 
+/// A hold as it is announced to peers.
+fn announce(hold: &Held, now: Duration) -> Hold {
+    Hold {
+        parts: hold.parts.clone(),
+        left_millis: (hold.until - now).as_millis() as u64,
+        crashes: hold.crashes,
+        last_crash: hold.last_crash,
+        age_millis: now.saturating_sub(hold.last_crash_at).as_millis() as u64,
+        is_confirmed: hold.is_confirmed,
+        stored_as: hold.stored_as,
+    }
+}
+
+fn parts_of(occurrence: &Occurrence) -> Vec<u64> {
+    occurrence.parts.iter().map(|it| it.part).collect()
+}
+
 /// Takes the parts of a dropped occurrence off their counts.
-fn discount(counts: &mut HashMap<u64, usize>, parts: &[Suspect]) {
+fn discount(counts: &mut BTreeMap<u64, usize>, parts: &[Suspect]) {
     for suspect in parts {
         if let Some(count) = counts.get_mut(&suspect.part) {
             *count -= 1;
@@ -596,9 +826,9 @@
 }
 
 /// Time for which a group with this number of crashes is held after the last one.
-fn hold_time(crashes: usize) -> Duration {
-    match crashes >= LONG_HOLD_CRASHES {
-        true => LONG_HOLD,
+fn hold_time(parts: &[u64], crashes: usize) -> Duration {
+    match has_content(parts) || crashes >= LONG_HOLD_CRASHES {
+        true => full_time(parts),
         false => SHORT_HOLD,
     }
 }
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -10,6 +10,7 @@
 pub mod codec;
 pub mod demand;
 pub mod endpoint;
+pub mod ends;
 pub mod engine;
 pub mod events;
 pub mod feed;
@@ -42,6 +43,7 @@
 use prometheus_client::registry::Registry;
 use rand::RngExt;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -126,8 +128,12 @@
     /// This daemon's shares of the workspaces' rate limits.
     pub limits: limits::Limits,
     retries: Mutex<HashMap<Name, Window>>,
-    /// Parts of prompts that crash endpoints.
+    /// Requests and parts of prompts that crash endpoints.
     pub quarantine: Mutex<Quarantine>,
+    /// Notified when holds are made or released.
+    pub holds_changed: Notify,
+    /// Checks whether endpoints have ended.
+    pub ends: ends::Ends,
     /// What endpoints state about themselves.
     pub statements: Mutex<Statements>,
     /// Demand to report to the placer.
@@ -294,6 +300,7 @@
         tasks.spawn(peers::sender::run(node.clone()));
         tasks.spawn(peers::receiver::run(node.clone()));
         tasks.spawn(placer::run(node.clone()));
+        tasks.spawn(quarantine::store::run(node.clone()));
         tasks.spawn(expire(node.clone()));
         tasks.spawn(sweep(node.clone()));
         let stopped = node.stopped.clone();
@@ -390,6 +397,8 @@
         limits: limits::Limits::default(),
         retries: Mutex::default(),
         quarantine: Mutex::default(),
+        holds_changed: Notify::default(),
+        ends: ends::Ends::default(),
         statements: Mutex::default(),
         demand: demand::Demand::default(),
         placer: placer::Placer::open(settings.placement_lease),
--- /dev/null
+++ b/src/serving/quarantine/store.rs
@@ -0,0 +1,150 @@
+//! Keeps long holds in the store, so that they outlive the daemons. They are rows of the daemons' table, which a daemon
+//! reads before it serves.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::sleep;
+
+use super::choose_daemon;
+use crate::coordination::quarantine::{Hold, Unstored};
+use crate::serving::peers::{commit, discover::DAEMON_TABLE};
+use crate::serving::{Node, jitter};
+use crate::state::record::Name;
+use crate::state::row::{Change, Row};
+use crate::transport::exchange::Channel;
+
+/// Prefix of the keys of stored holds; names of daemons have no slash.
+const HOLD_PREFIX: &str = "hold/";
+
+/// Prefix of the keys of probes that were taken.
+const PROBE_PREFIX: &str = "probe/";
+
+/// Numbers of the probes of a hold that may have been taken.
+const PROBE_NUMBERS: std::ops::RangeInclusive<u32> = 1..=2;
+
+/// Time for which the other daemons leave a hold to the one that is to store it, in a small fleet.
+const TURN: Duration = Duration::from_secs(1);
+
+/// Pause after a failed write.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Stores holds, and removes those that were released, until the daemon stops.
+pub async fn run(node: Arc<Node>) {
+    let channel = Channel::open(node.settings.store_address);
+    let task = async {
+        // Time at which each hold that is not stored was first seen so.
+        let mut seen: HashMap<u64, Duration> = HashMap::new();
+        loop {
+            let now = node.now();
+            let (unstored, released) = {
+                let mut quarantine = node.quarantine.lock();
+                (quarantine.unstored(now), quarantine.take_released(now))
+            };
+            seen.retain(|key, _| unstored.iter().any(|it| it.key == *key));
+            for hold in &unstored {
+                seen.entry(hold.key).or_insert(now);
+            }
+            let own =
+                |key: u64| choose_daemon(key, &node.peers.names()) == Some(&node.settings.name);
+            let turn = TURN * node.peers.interval_factor();
+            let due = |hold: &&Unstored| own(hold.key) || now >= seen[&hold.key] + turn;
+            let due: Vec<&Unstored> = unstored.iter().filter(due).collect();
+            let own_released = released.into_iter().filter(|key| own(*key)).collect();
+            let is_done = write(&node, &channel, &due, own_released).await;
+            let is_waiting = unstored.len() > due.len();
+            tokio::select! {
+                () = node.holds_changed.notified(), if is_done => {}
+                () = sleep(jitter(RETRY_PAUSE)), if !is_done || is_waiting => {}
+            }
+        }
+    };
+    node.until_stopped(task).await;
+}
+
+/// Writes holds and removes others in one transaction; returns whether nothing is left to do.
+async fn write(node: &Node, channel: &Channel, holds: &[&Unstored], released: Vec<u64>) -> bool {
+    if holds.is_empty() && released.is_empty() {
+        return true;
+    }
+    let mut change = Change::default();
+    for Unstored {
+        key,
+        hold,
+        replaces,
+    } in holds
+    {
+        let value = serde_json::to_vec(hold).unwrap_or_default();
+        let row = (DAEMON_TABLE.into(), hold_key(*key), Bytes::from(value));
+        change.write.push(row);
+        change
+            .remove
+            .extend(replaces.iter().flat_map(|key| rows(*key)));
+    }
+    let removed = released.iter().flat_map(|key| rows(*key));
+    change.remove.extend(removed);
+    let written = commit::commit(node, channel, &change).await;
+    if let Err(error) = &written {
+        node.journal
+            .line(|| spdlog::info!("quarantine: cannot store holds", kv: { error: = error }));
+    }
+    let mut quarantine = node.quarantine.lock();
+    if written.is_err() {
+        released
+            .iter()
+            .for_each(|key| quarantine.release_again(*key));
+        return false;
+    }
+    holds.iter().for_each(|hold| quarantine.stored(hold.key));
+    spdlog::info!("quarantine: holds stored", kv: { written = holds.len(), released = released.len() });
+    true
+}
+
+/// Takes a probe of a hold; returns whether this daemon is the one that has it.
+pub async fn take_probe(node: &Node, key: u64, number: u32) -> bool {
+    let channel = Channel::open(node.settings.store_address);
+    let row_key = probe_key(key, number);
+    let change = Change {
+        expected: vec![(DAEMON_TABLE.into(), row_key.clone(), 0)],
+        write: vec![(DAEMON_TABLE.into(), row_key, Bytes::from_static(b"{}"))],
+        remove: Vec::new(),
+    };
+    let written = node.commit(&channel, &change).await;
+    node.journal.line(|| {
+        spdlog::info!("quarantine: probe taken in the store", kv: { number, result:? = written });
+    });
+    matches!(written, Ok(Some(_)))
+}
+
+/// Adopts the holds in a listing of the daemons' table.
+pub fn adopt(node: &Node, rows: &[Row]) {
+    let holds = rows.iter().filter(|row| row.key.starts_with(HOLD_PREFIX));
+    let holds = holds.filter_map(|row| serde_json::from_slice::<Hold>(row.value.as_ref()?).ok());
+    let holds: Vec<Hold> = holds.collect();
+    if holds.is_empty() {
+        return;
+    }
+    let now = node.now();
+    super::update(node, |quarantine| {
+        for hold in holds {
+            quarantine.restore(hold, now);
+        }
+    });
+}
+
+/// Keys of all rows of a hold.
+fn rows(key: u64) -> impl Iterator<Item = (Name, Name)> {
+    let probes = PROBE_NUMBERS.map(move |number| probe_key(key, number));
+    let keys = std::iter::once(hold_key(key)).chain(probes);
+    keys.map(|key| (DAEMON_TABLE.into(), key))
+}
+
+fn hold_key(key: u64) -> Name {
+    format!("{HOLD_PREFIX}{key:016x}").into()
+}
+
+fn probe_key(key: u64, number: u32) -> Name {
+    format!("{PROBE_PREFIX}{key:016x}/{number}").into()
+}
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -50,9 +50,11 @@
         phase: Phase::Choosing,
         is_probe: false,
     };
-    match quarantine::held(node, &ctx.call) {
+    match ctx.held() {
         None => node.demand.record(&ctx.call),
-        Some(_) => ctx.is_probe = quarantine::probe(node, &ctx.call),
+        Some(_) => {
+            ctx.is_probe = quarantine::probe(node, &ctx.call, ctx.admission.caller()).await;
+        }
     }
     let wait_started = node.now();
     let mut failure: Option<Response<Body>> = None;
@@ -177,7 +179,7 @@
         Unavailable::Quiet => choose::quiet_left(node, &ctx.admission),
         Unavailable::Paused => Duration::from_millis(400),
         Unavailable::Retry | Unavailable::Attempts => FULL_PAUSE,
-        Unavailable::Quarantine => quarantine::held(node, &ctx.call).unwrap_or(FULL_PAUSE),
+        Unavailable::Quarantine => ctx.held().unwrap_or(FULL_PAUSE),
         Unavailable::Limited | Unavailable::Cold | Unavailable::Full => {
             // Spread so that callers do not retry at the same time.
             let jitter = (node.now().subsec_micros() % 1000) + 500;
@@ -200,6 +202,9 @@
     let read = timeout(ctx.remaining(), read_whole(body, &node.memory)).await;
     let Ok(Some(bytes)) = read else {
         endpoint.tracker.lock().health.failed(node.now());
+        if read.is_ok() {
+            ctx.lost(&endpoint, false).await;
+        }
         node.journal.line(|| {
             spdlog::info!("relay: response incomplete", kv: {
                 request: = ctx.call.id,
@@ -213,6 +218,7 @@
     };
     node.pool_connection(&endpoint.entry.id, connection, head.keep_alive);
     drop(flight);
+    quarantine::survived(node, &ctx.call, ctx.admission.caller());
     let body = Full::new(bytes).map_err(|never| match never {});
     Some(Response::from_parts(
         forwarded_parts(parts),
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -148,7 +148,7 @@
     pub token: TaskTrackerToken,
     /// What the request is waiting for.
     pub phase: Phase,
-    /// Whether the request may be sent once although parts of its prompt are held.
+    /// Whether the request may be sent once although it is held.
     pub is_probe: bool,
 }
 
@@ -187,6 +187,17 @@
 }
 
 impl Context {
+    /// Time after which the request may be sent again if it is held because it crashes endpoints.
+    pub fn held(&self) -> Option<Duration> {
+        quarantine::held(&self.node, &self.call, self.admission.caller())
+    }
+
+    /// Records that an endpoint was lost before it had responded, or when it had just begun.
+    pub async fn lost(&self, endpoint: &Endpoint, has_event: bool) {
+        let caller = self.admission.caller();
+        quarantine::lost(&self.node, &self.call, caller, endpoint, has_event).await;
+    }
+
     /// Digest by which this request is recognized when it comes again.
     pub fn content(&self) -> u64 {
         self.call.content(self.admission.caller())
@@ -227,7 +238,7 @@
     /// The reason why the request can't be sent now.
     pub async fn choose(&self) -> Result<Choice, Unavailable> {
         let is_probe = self.is_probe && self.delivered == 0;
-        if !is_probe && quarantine::held(&self.node, &self.call).is_some() {
+        if !is_probe && self.held().is_some() {
             return Err(Unavailable::Quarantine);
         }
         let choice = loop {
@@ -348,6 +359,7 @@
                 let parts = journal::hex(&self.call.shared_parts());
                 let detail = format!("content={content:x} parts={parts} {error}");
                 self.log("broken", &choice, &detail);
+                self.lost(&choice.endpoint, false).await;
                 Outcome::Broken
             }
         }
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -174,7 +174,7 @@
                 Received::TimedOut => self.try_move().await,
                 Received::Failed(reason) => {
                     if matches!(reason, "stream_broken" | "stream_cut") {
-                        self.record_crash();
+                        self.record_crash().await;
                     }
                     if !self.resume(reason).await {
                         return Err(reason);
@@ -267,23 +267,23 @@
 
     /// Records that the request does not crash endpoints, once, and again while its parts are held.
     fn record_survival(&mut self) {
-        let node = &self.ctx.node;
+        let ctx = &self.ctx;
         let is_first = !std::mem::replace(&mut self.has_survived, true);
-        if is_first || quarantine::held(node, &self.ctx.call).is_some() {
-            quarantine::survived(node, &self.ctx.call);
+        if is_first || ctx.held().is_some() {
+            quarantine::survived(&ctx.node, &ctx.call, ctx.admission.caller());
         }
     }
 
     /// Records that the endpoint ended just after the request had begun there. Until its first event a request that is
     /// to crash the endpoint may take any time.
-    fn record_crash(&self) {
+    async fn record_crash(&mut self) {
         let Some(exchange) = &self.exchange else {
             return;
         };
         let has_event = self.last_event_at >= exchange.answered_at;
         if !self.has_survived && (!has_event || self.since_head() < CRASH_WINDOW) {
-            let (node, call) = (&self.ctx.node, &self.ctx.call);
-            quarantine::crashed(node, call, &exchange.endpoint, has_event);
+            let endpoint = exchange.endpoint.clone();
+            self.ctx.lost(&endpoint, has_event).await;
         }
     }
 
--- a/src/state/call.rs
+++ b/src/state/call.rs
@@ -9,6 +9,9 @@
 use super::record::Name;
 use crate::coordination::statement::Content;
 
+/// Bit that is set in digests of whole requests and clear in those of prompt parts.
+pub const CONTENT_BIT: u64 = 1 << 63;
+
 /// A part of a prompt that several requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Part {
@@ -34,7 +37,8 @@
 }
 
 impl Generation {
-    /// Digests of the parts that other requests may share: all but the last one.
+    /// Digests of the parts that other requests may share: all but the last one. Their highest bit is clear, by which
+    /// they are told from the digests of whole requests.
     ///
     /// ```
     /// use persimmoncroft::state::call::{Generation, Part};
@@ -47,7 +51,7 @@
     pub fn shared_parts(&self) -> Vec<u64> {
         let shared = self.parts.len().saturating_sub(1);
         let shared = self.parts.iter().take(shared);
-        shared.map(|part| part.digest).collect()
+        shared.map(|part| part.digest & !CONTENT_BIT).collect()
     }
 }
 
@@ -90,8 +94,9 @@
         generation.map_or_else(Vec::new, Generation::shared_parts)
     }
 
-    /// Digest of what two attempts of one request have in common: method, host, target, caller and body. The upper half
-    /// does not depend on the body, so that most other requests can be told from it without a pass over their bodies.
+    /// Digest of what two attempts of one request have in common: method, host, target, caller and body, with
+    /// [`CONTENT_BIT`]. The upper half does not depend on the body, so that most other requests can be told from it
+    /// without a pass over their bodies.
     ///
     /// ```
     /// use bytes::Bytes;
@@ -118,7 +123,7 @@
         let fields = [self.method.as_str(), &self.host, &self.target, caller];
         let chain = |seed, field: &str| xxh3_64_with_seed(field.as_bytes(), seed);
         let digest = fields.into_iter().fold(0, chain);
-        (digest >> 32) as u32
+        ((digest | CONTENT_BIT) >> 32) as u32
     }
 
     /// Returns the sum of prompt and output tokens, if stated.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use persimmoncroft::coordination::quarantine::{Hold, Occurrence, Quarantine, Suspect};
+use persimmoncroft::state::call::CONTENT_BIT;
 use quickcheck::quickcheck;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -177,7 +178,7 @@
     }
     assert_eq!(peer.held(&[SHARED], seconds(101)), Some(seconds(30)));
 
-    assert!(quarantine.probe(&[SHARED], seconds(4)));
+    assert!(quarantine.probe(&[SHARED], seconds(4)).is_some());
     crash_vouched(&mut quarantine, 13, seconds(5));
     assert_eq!(quarantine.held(&[SHARED], seconds(5)), Some(seconds(600)));
 }
@@ -399,6 +400,7 @@
         last_crash: 8,
         age_millis: 1000,
         is_confirmed: false,
+        stored_as: None,
     };
     assert!(quarantine.adopt(hold, seconds(11)).is_empty());
 }
@@ -444,6 +446,7 @@
         last_crash,
         age_millis: 0,
         is_confirmed: false,
+        stored_as: None,
     };
     for (first, second) in [(5, 20), (20, 5)] {
         let mut quarantine = Quarantine::default();
@@ -466,16 +469,32 @@
 fn one_probe_is_let_through_three_seconds_after_the_last_crash() {
     for crashes in [3, 5] {
         let mut quarantine = Quarantine::default();
-        assert!(!quarantine.probe(&[CRASHING], seconds(1)));
+        assert!(quarantine.probe(&[CRASHING], seconds(1)).is_none());
         crash_times(&mut quarantine, crashes);
         let last = seconds(crashes);
         let millis = Duration::from_millis;
-        assert!(!quarantine.probe(&[CRASHING, 9], last + millis(2999)));
-        assert!(!quarantine.probe(&[SOUND, 9], last + millis(3000)));
-        assert!(quarantine.probe(&[CRASHING, 9], last + millis(3000)));
+        assert!(
+            quarantine
+                .probe(&[CRASHING, 9], last + millis(2999))
+                .is_none()
+        );
+        assert!(quarantine.probe(&[SOUND, 9], last + millis(3000)).is_none());
+        assert!(
+            quarantine
+                .probe(&[CRASHING, 9], last + millis(3000))
+                .is_some()
+        );
         // The first one did not reach an endpoint.
-        assert!(!quarantine.probe(&[CRASHING, 9], last + millis(4999)));
-        assert!(quarantine.probe(&[CRASHING, 9], last + millis(5000)));
+        assert!(
+            quarantine
+                .probe(&[CRASHING, 9], last + millis(4999))
+                .is_none()
+        );
+        assert!(
+            quarantine
+                .probe(&[CRASHING, 9], last + millis(5000))
+                .is_some()
+        );
         assert!(is_held(&quarantine, &[CRASHING, 9], last + millis(5001)));
         quarantine.survived(&[CRASHING, 9], last + millis(5500));
         assert!(!is_held(&quarantine, &[CRASHING, 9], last + millis(5500)));
@@ -494,9 +513,9 @@
         };
         quarantine.adopt(hold, seconds(0));
     }
-    assert!(!quarantine.probe(&[SHARED, CRASHING], seconds(5)));
-    assert!(quarantine.probe(&[SHARED, SOUND], seconds(5)));
-    assert!(quarantine.probe(&[CRASHING, SOUND], seconds(5)));
+    assert!(quarantine.probe(&[SHARED, CRASHING], seconds(5)).is_none());
+    assert!(quarantine.probe(&[SHARED, SOUND], seconds(5)).is_some());
+    assert!(quarantine.probe(&[CRASHING, SOUND], seconds(5)).is_some());
 }
 
 /// Guards against more crashes by probes, for as long as the hold lasts.
@@ -505,7 +524,7 @@
     for bystander_first in [false, true] {
         let mut quarantine = Quarantine::default();
         crash_times(&mut quarantine, 3);
-        assert!(quarantine.probe(&[CRASHING], seconds(6)));
+        assert!(quarantine.probe(&[CRASHING], seconds(6)).is_some());
         if bystander_first {
             quarantine.record(occurrence(4, 90, &[SOUND]), seconds(7));
             assert_eq!(quarantine.held(&[CRASHING], seconds(7)), Some(seconds(26)));
@@ -513,7 +532,7 @@
         crash(&mut quarantine, 4, &[CRASHING], seconds(7));
         assert_eq!(quarantine.held(&[CRASHING], seconds(7)), Some(seconds(600)));
         for second in 7..607 {
-            assert!(!quarantine.probe(&[CRASHING], seconds(second)));
+            assert!(quarantine.probe(&[CRASHING], seconds(second)).is_none());
         }
         assert!(!is_held(&quarantine, &[CRASHING], seconds(607)));
         // The first crash after it is enough for the next one.
@@ -522,7 +541,7 @@
             quarantine.held(&[CRASHING], seconds(608)),
             Some(seconds(600))
         );
-        assert!(!quarantine.probe(&[CRASHING], seconds(700)));
+        assert!(quarantine.probe(&[CRASHING], seconds(700)).is_none());
         // Another daemon may still find it sound.
         quarantine.clear(&[CRASHING], seconds(701));
         assert!(!is_held(&quarantine, &[CRASHING], seconds(701)));
@@ -534,7 +553,7 @@
 fn late_report_of_a_known_crash_does_not_confirm_a_hold() {
     let mut quarantine = Quarantine::default();
     crash_times(&mut quarantine, 3);
-    assert!(quarantine.probe(&[CRASHING], seconds(6)));
+    assert!(quarantine.probe(&[CRASHING], seconds(6)).is_some());
     for number in 1..=3 {
         quarantine.record(occurrence(number, 90, &[CRASHING]), seconds(6));
         for hold in quarantine.holds(seconds(6)) {
@@ -542,7 +561,7 @@
         }
     }
     assert!(!quarantine.holds(seconds(6))[0].is_confirmed);
-    assert!(quarantine.probe(&[CRASHING], seconds(9)));
+    assert!(quarantine.probe(&[CRASHING], seconds(9)).is_some());
 }
 
 /// Guards against probes of other daemons, and of daemons that have only heard of the hold.
@@ -554,9 +573,9 @@
     let mut peer = Quarantine::default();
     peer.adopt(hold.clone(), seconds(101));
     // The last crash was a second before.
-    assert!(!peer.probe(&[CRASHING], seconds(102)));
+    assert!(peer.probe(&[CRASHING], seconds(102)).is_none());
     let mut other = peer.clone();
-    assert!(peer.probe(&[CRASHING], seconds(103)));
+    assert!(peer.probe(&[CRASHING], seconds(103)).is_some());
     crash(&mut peer, 4, &[CRASHING], seconds(104));
     assert_eq!(peer.held(&[CRASHING], seconds(104)), Some(seconds(600)));
 
@@ -566,12 +585,12 @@
     crash(&mut quarantine, 4, &[CRASHING], seconds(7));
     for daemon in [&mut quarantine, &mut other] {
         daemon.adopt(confirmed.clone(), seconds(105));
-        assert!(!daemon.probe(&[CRASHING], seconds(200)));
+        assert!(daemon.probe(&[CRASHING], seconds(200)).is_none());
         assert!(is_held(daemon, &[CRASHING], seconds(600)));
     }
     let mut unknown = Quarantine::default();
     unknown.adopt(hold, seconds(101));
-    assert!(unknown.probe(&[CRASHING], seconds(103)));
+    assert!(unknown.probe(&[CRASHING], seconds(103)).is_some());
     let news = Hold {
         parts: vec![CRASHING],
         left_millis: 29_000,
@@ -579,13 +598,14 @@
         last_crash: 99,
         age_millis: 500,
         is_confirmed: false,
+        stored_as: None,
     };
     unknown.adopt(news, seconds(104));
     assert_eq!(
         unknown.held(&[CRASHING], seconds(104)),
         Some(Duration::from_millis(599_500))
     );
-    assert!(!unknown.probe(&[CRASHING], seconds(200)));
+    assert!(unknown.probe(&[CRASHING], seconds(200)).is_none());
 }
 
 /// Guards against a crashing part that is tried once more for each way in which its group is told apart.
@@ -600,13 +620,13 @@
             seconds(number),
         );
     }
-    assert!(quarantine.probe(&[SHARED, CRASHING], seconds(6)));
+    assert!(quarantine.probe(&[SHARED, CRASHING], seconds(6)).is_some());
     crash(&mut quarantine, 4, &[SHARED, CRASHING], seconds(7));
     crash(&mut quarantine, 5, &[CRASHING], seconds(8));
     assert_eq!(quarantine.held(&[CRASHING], seconds(8)), Some(seconds(600)));
     assert!(!is_held(&quarantine, &[SHARED], seconds(8)));
-    assert!(!quarantine.probe(&[CRASHING], seconds(20)));
-    assert!(!quarantine.probe(&[SHARED, CRASHING], seconds(20)));
+    assert!(quarantine.probe(&[CRASHING], seconds(20)).is_none());
+    assert!(quarantine.probe(&[SHARED, CRASHING], seconds(20)).is_none());
 }
 
 /// Guards against a late report that vouches for a part ending a hold that a probe has confirmed.
@@ -614,7 +634,7 @@
 fn confirmed_hold_outlasts_a_late_report_that_vouches() {
     let mut quarantine = Quarantine::default();
     crash_times(&mut quarantine, 3);
-    assert!(quarantine.probe(&[CRASHING], seconds(6)));
+    assert!(quarantine.probe(&[CRASHING], seconds(6)).is_some());
     crash(&mut quarantine, 4, &[CRASHING], seconds(7));
     let mut late = occurrence(1, 1, &[CRASHING, 1001]);
     late.parts[0].vouched = true;
@@ -635,13 +655,13 @@
     );
     assert_eq!(quarantine.matching(&[CRASHING], seconds(6)), Some(CRASHING));
     assert_eq!(quarantine.matching(&[SHARED], seconds(6)), None);
-    assert!(!quarantine.probe(&[CRASHING, SOUND], seconds(7)));
+    assert!(quarantine.probe(&[CRASHING, SOUND], seconds(7)).is_none());
     // A refused probe does not count as one of either hold.
-    assert!(quarantine.probe(&[CRASHING], seconds(7)));
-    assert!(!quarantine.probe(&[CRASHING, SOUND], seconds(8)));
-    assert!(!quarantine.probe(&[CRASHING, SOUND], seconds(9)));
-    assert!(quarantine.probe(&[SOUND], seconds(9)));
-    assert!(quarantine.probe(&[CRASHING], seconds(9)));
+    assert!(quarantine.probe(&[CRASHING], seconds(7)).is_some());
+    assert!(quarantine.probe(&[CRASHING, SOUND], seconds(8)).is_none());
+    assert!(quarantine.probe(&[CRASHING, SOUND], seconds(9)).is_none());
+    assert!(quarantine.probe(&[SOUND], seconds(9)).is_some());
+    assert!(quarantine.probe(&[CRASHING], seconds(9)).is_some());
     assert_eq!(
         quarantine.matching(&[CRASHING, SOUND], seconds(34)),
         Some(SOUND)
@@ -677,7 +697,7 @@
             let refusal = daemons[at].matching(&parts, now);
             let is_sent = match refusal {
                 None => true,
-                Some(digest) => digest % 3 == at as u64 && daemons[at].probe(&parts, now),
+                Some(digest) => digest % 3 == at as u64 && daemons[at].probe(&parts, now).is_some(),
             };
             if is_sent {
                 crashes.push(now);
@@ -724,6 +744,7 @@
         last_crash: 1,
         age_millis: 0,
         is_confirmed: false,
+        stored_as: None,
     };
     quarantine.adopt(hold.clone(), seconds(1));
     assert!(!is_held(&quarantine, &[1, 2], seconds(1)));
@@ -780,6 +801,7 @@
             last_crash: part,
             age_millis: 0,
             is_confirmed: false,
+            stored_as: None,
         };
         quarantine.adopt(hold, now);
     }
@@ -792,16 +814,25 @@
 #[test]
 fn announced_holds_end_last_and_fit_into_a_message() {
     let mut quarantine = Quarantine::default();
+    let parts = |last: u64, number| (0..16).map(|part| last - 100 * number - part).collect();
     for number in 0..40 {
         let hold = Hold {
-            parts: (0..16).map(|part| u64::MAX - 100 * number - part).collect(),
+            parts: parts(!CONTENT_BIT, number),
             left_millis: 599_000 - number,
             crashes: 1000,
             last_crash: u64::MAX - number,
             age_millis: 599_000,
             is_confirmed: true,
+            stored_as: Some(u64::MAX),
+        };
+        quarantine.adopt(hold.clone(), seconds(1000));
+        let content = Hold {
+            parts: parts(u64::MAX, number),
+            left_millis: u64::MAX,
+            age_millis: 1000 + number,
+            ..hold
         };
-        quarantine.adopt(hold, seconds(1000));
+        quarantine.adopt(content, seconds(1000));
     }
     // A larger group is held here only.
     let large: Vec<u64> = (0..17).collect();
@@ -810,14 +841,106 @@
     }
     assert!(is_held(&quarantine, &large, seconds(1000)));
     let holds = quarantine.holds(seconds(1000));
-    let left: Vec<u64> = holds.iter().map(|hold| hold.left_millis).collect();
+    let left: Vec<u64> = holds.iter().map(|hold| hold.left_millis).take(16).collect();
     let latest: Vec<u64> = (0..16).map(|number| 599_000 - number).collect();
     assert_eq!(left, latest);
+    let ages: Vec<u64> = holds.iter().map(|hold| hold.age_millis).skip(16).collect();
+    let latest: Vec<u64> = (0..16).map(|number| 1000 + number).collect();
+    assert_eq!(ages, latest);
     assert!(holds.iter().all(|hold| hold.parts.len() == 16));
     let text = serde_json::to_string(&holds).unwrap();
     assert!(text.len() < 16_000, "{}", text.len());
 }
 
+/// Content of a request that crashes endpoints.
+const CONTENT: u64 = CONTENT_BIT | 7;
+
+/// Records that a content was at an endpoint that ended.
+fn crash_content(quarantine: &mut Quarantine, content: u64, crash: u64, request: u64, at: u64) {
+    quarantine.record(occurrence(crash, request, &[content]), seconds(at));
+}
+
+/// Guards against a request that is sent to endpoints again and again over a day.
+#[test]
+fn content_is_held_for_a_day_and_probed_twice() {
+    let mut quarantine = Quarantine::default();
+    for crash in 1..=3 {
+        assert!(!is_held(&quarantine, &[CONTENT], seconds(crash)));
+        crash_content(&mut quarantine, CONTENT, crash, crash, crash);
+    }
+    let probed_at: Vec<u64> = (3..24 * 3600)
+        .filter(|at| quarantine.probe(&[CONTENT], seconds(*at)).is_some())
+        .collect();
+    assert_eq!(probed_at, [6, 66]);
+    assert!(is_held(&quarantine, &[CONTENT], seconds(24 * 3600)));
+}
+
+/// Guards against probes that go on after one has crashed its endpoint.
+#[test]
+fn content_whose_probe_crashed_an_endpoint_is_not_probed_again() {
+    let mut quarantine = Quarantine::default();
+    for crash in 1..=3 {
+        crash_content(&mut quarantine, CONTENT, crash, crash, crash);
+    }
+    assert!(quarantine.probe(&[CONTENT], seconds(6)).is_some());
+    crash_content(&mut quarantine, CONTENT, 4, 4, 7);
+    assert!((7..3600).all(|at| quarantine.probe(&[CONTENT], seconds(at)).is_none()));
+}
+
+/// Guards against missing a request whose attempts come minutes apart.
+#[test]
+fn content_that_comes_again_is_remembered_for_longer_than_other_evidence() {
+    let mut quarantine = Quarantine::default();
+    crash_content(&mut quarantine, CONTENT, 1, 1, 0);
+    crash_content(&mut quarantine, CONTENT, 2, 2, 500);
+    crash_content(&mut quarantine, CONTENT, 3, 3, 5000);
+    assert!(is_held(&quarantine, &[CONTENT], seconds(5001)));
+}
+
+/// Guards against a request that escapes because several copies of it were on one endpoint and a bystander's only one.
+#[test]
+fn content_with_several_copies_on_an_endpoint_is_held_like_one_with_a_single_copy() {
+    let mut quarantine = Quarantine::default();
+    let bystander = CONTENT_BIT | 8;
+    for crash in 1..=3 {
+        for copy in 0..crash {
+            crash_content(&mut quarantine, CONTENT, crash, 10 * crash + copy, crash);
+        }
+        crash_content(&mut quarantine, bystander, crash, 100 + crash, crash);
+    }
+    assert!(is_held(&quarantine, &[CONTENT], seconds(4)));
+    assert!(is_held(&quarantine, &[bystander], seconds(4)));
+    // Another crash of the one explains those of the other.
+    crash_content(&mut quarantine, CONTENT, 4, 40, 5);
+    assert!(is_held(&quarantine, &[CONTENT], seconds(5)));
+    assert!(!is_held(&quarantine, &[bystander], seconds(5)));
+}
+
+/// Guards against many holds of contents pushing out those of prompt parts, and the other way round.
+#[test]
+fn holds_of_contents_and_parts_are_bounded_apart() {
+    let mut quarantine = Quarantine::default();
+    let now = seconds(1);
+    for number in 0..3000 {
+        for (parts, left_millis) in [(CONTENT + number, 3_600_000), (number, 10_000)] {
+            let hold = Hold {
+                parts: vec![parts],
+                left_millis: left_millis + number,
+                crashes: 5,
+                ..Hold::default()
+            };
+            quarantine.adopt(hold, now);
+        }
+    }
+    let held = |first: u64| {
+        let numbers = 0..3000;
+        let held = numbers.filter(|number| is_held(&quarantine, &[first + number], now));
+        held.count()
+    };
+    assert_eq!(held(CONTENT), 1024);
+    assert_eq!(held(0), 64);
+}
+
 #[test]
 fn messages_are_short_and_read_back() {
     let mut occurrence = occurrence(1, 2, &[3, 4]);
@@ -835,6 +958,7 @@
         last_crash: 1,
         age_millis: 0,
         is_confirmed: false,
+        stored_as: None,
     };
     let text = serde_json::to_string(&hold).unwrap();
     assert_eq!(serde_json::from_str::<Hold>(&text).unwrap(), hold);
