Log the software versions of endpoints and the streams that callers take up again

No line named the version of an endpoint or showed that a request takes up a stream of another attempt, so that the hypotheses of docs/incidents/mixed-versions.md could not be told apart. Nothing is decided by either.

--- a/src/serving/fleet.rs
+++ b/src/serving/fleet.rs
@@ -205,6 +205,7 @@
                 endpoint: = id,
                 service: = entry.service,
                 zone: = entry.zone,
+                version: = entry.version,
                 draining = entry.draining,
                 cold_ms = entry.cold.as_millis() as u64,
             });
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -93,6 +93,7 @@
     ctx: Context,
     exchange: Exchange,
 ) -> Result<Response<Body>, (Context, &'static str)> {
+    log_resumed(&ctx, &exchange);
     let parts = forwarded_parts(exchange.parts.clone());
     let mut forwarder = Forwarder {
         events: Events::after(ctx.call.last_event),
@@ -136,6 +137,22 @@
     Ok(Response::from_parts(parts, body))
 }
 
+/// Logs where a stream goes on that its caller takes up again.
+fn log_resumed(ctx: &Context, exchange: &Exchange) {
+    let Some(last_event) = ctx.call.last_event else {
+        return;
+    };
+    ctx.node.journal.line(|| {
+        spdlog::info!("stream: taken up", kv: {
+            request: = ctx.call.id,
+            resumes: = ctx.call.resumes.as_deref().unwrap_or("-"),
+            last_event,
+            endpoint: = exchange.endpoint.entry.id,
+            version: = exchange.endpoint.entry.version,
+        });
+    });
+}
+
 /// Result of waiting for the next part of a stream.
 enum Received {
     Events(Bytes),
--- a/src/state/call.rs
+++ b/src/state/call.rs
@@ -76,6 +76,8 @@
     pub time_left: Option<Duration>,
     /// Identifier of the last event that the caller received.
     pub last_event: Option<u64>,
+    /// Identifier of the attempt that brought the first event of the stream that this call takes up again.
+    pub resumes: Option<Name>,
     /// Headers to forward.
     pub headers: HeaderMap,
     /// Request body.
@@ -104,7 +106,7 @@
     /// use persimmoncroft::state::call::Call;
     /// let call = |id: &str, body: &'static str| Call {
     ///     id: id.into(), host: "shop.example".into(), method: Method::POST, target: "/orders".to_owned(), key: None,
-    ///     generation: None, tokens_stated: false, time_left: None, last_event: None, headers: HeaderMap::new(),
+    ///     generation: None, tokens_stated: false, time_left: None, last_event: None, resumes: None, headers: HeaderMap::new(),
     ///     body: Bytes::from(body),
     /// };
     /// let first = call("1", "a").content("team");
--- a/src/state/registry.rs
+++ b/src/state/registry.rs
@@ -18,6 +18,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: Name,
+    /// Version of the endpoint's software.
+    pub version: Name,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Whether the endpoint is draining.
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -115,6 +115,7 @@
             service: "models".into(),
             address: "127.0.0.1:1".parse().unwrap(),
             zone: "a".into(),
+            version: "v1".into(),
             slots: 64,
             draining: false,
             cold: Duration::ZERO,
