List the daemons' table often while a peer is not heard

A zone behind a cut that reaches the store would learn of a request that others hold only with its next list, up to 18 s later, and send it three times more (BUDGET): found in a review, not seen in a run. The few daemons that read the store for their zones now list the table about once a second while they miss a peer, and pass the holds on in their heartbeats. Evidence: daemons_are_listed_often_while_one_is_not_heard timed out before and passes now.

--- a/src/serving/peers/discover.rs
+++ b/src/serving/peers/discover.rs
@@ -52,7 +52,12 @@
             tokio::select! {
                 () = sleep(jitter(interval)) => {}
                 () = node.peers.unknown_sender.notified() => {
-                    sleep(jitter(MIN_LIST_INTERVAL * node.peers.interval_factor())).await;
+                    // The few daemons that read for their zones don't burden the store.
+                    let factor = match node.peers.reads_store(&node.settings, node.now()) {
+                        true => 1,
+                        false => node.peers.interval_factor(),
+                    };
+                    sleep(jitter(MIN_LIST_INTERVAL * factor)).await;
                 }
             }
         }
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -224,6 +224,11 @@
         reader::readers(zone)
     }
 
+    /// Whether this daemon is one of those that read the store for its zone.
+    pub fn reads_store(&self, own: &Settings, now: Duration) -> bool {
+        self.readers(own, now).contains(&own.name)
+    }
+
     /// The home of a workspace in each zone: first that of this daemon's zone, then the others in an order of its own.
     pub fn homes(&self, own: &Settings, workspace: &Name) -> Arc<[Home]> {
         let mut known = self.homes.lock();
@@ -322,12 +327,24 @@
 
     /// Whether this daemon has heard at least half of its peers lately.
     pub fn hears_most(&self, now: Duration) -> bool {
+        let (heard, all) = self.count_heard(now);
+        heard * 2 >= all.max(1)
+    }
+
+    /// Whether there are peers that this daemon has not heard lately.
+    pub fn misses_some(&self, now: Duration) -> bool {
+        let (heard, all) = self.count_heard(now);
+        heard < all
+    }
+
+    /// Number of peers that were heard lately, and of all peers.
+    fn count_heard(&self, now: Duration) -> (usize, usize) {
         let silence = PLACER_SILENCE.max(HEARTBEAT_INTERVAL * self.interval_factor() * 5 / 2);
         let inner = self.inner.lock();
         let heard = inner
             .values()
             .filter(|peer| peer.last_heard + silence > now);
-        heard.count() * 2 >= inner.len().max(1)
+        (heard.count(), inner.len())
     }
 
     fn zone_addresses(&self, own: &Settings) -> Vec<SocketAddr> {
--- a/src/serving/peers/sender.rs
+++ b/src/serving/peers/sender.rs
@@ -62,6 +62,10 @@
     for flights in node.peers.take_flights_of_silent(&node.settings, now) {
         update_remote_in_flight(node, &flights, &BTreeMap::new());
     }
+    if node.peers.misses_some(now) && node.peers.reads_store(&node.settings, now) {
+        // What daemons behind a cut store for the fleet does not come in messages.
+        node.peers.list_again();
+    }
     node.limits.return_surplus(node);
     let demand = node.demand.take();
     if node.placer.is_holder(node) {
