Store all holds, also the short ones of prompt parts

A part of prompts that crashed three endpoints was held for 30 s in the memory of daemons only; after a kill of all daemons it was unknown, and its crashes were counted from the start.

--- a/src/coordination/held.rs
+++ b/src/coordination/held.rs
@@ -136,9 +136,14 @@
     }
 }
 
+/// Whether a digest is that of a whole request.
+pub(super) fn is_content(digest: u64) -> bool {
+    digest & CONTENT_BIT != 0
+}
+
 /// Whether a whole request is in a group.
 pub(super) fn has_content(parts: &[u64]) -> bool {
-    parts.iter().any(|part| part & CONTENT_BIT != 0)
+    parts.iter().any(|part| is_content(*part))
 }
 
 /// Time for which a group is held at most.
--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -11,7 +11,7 @@
 //! endpoint, the hold is confirmed and gets no further probe. A hold of a content gets two probes at most, since the
 //! number of its retries is limited for good.
 //!
-//! Long holds are to be kept outside the daemons, so that they outlive them.
+//! Holds are to be kept outside the daemons, so that they outlive them.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -20,8 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::attribution::{self, Evidence, Finding, MIN_CRASHES, contains, count_crashes};
-use super::held::{Announcement, Held, full_time, has_content, is_within};
-use crate::state::call::CONTENT_BIT;
+use super::held::{Announcement, Held, full_time, has_content, is_content, is_within};
 
 /// Time for which an occurrence counts, and for which a hold is remembered after its end: 10 min.
 const EVIDENCE_TTL: Duration = Duration::from_secs(600);
@@ -203,7 +202,7 @@
             let count = self.counts.entry(suspect.part).or_default();
             *count += 1;
             may_be_held |= *count >= MIN_CRASHES;
-            has_come_again |= *count > 1 && suspect.part & CONTENT_BIT != 0;
+            has_come_again |= *count > 1 && is_content(suspect.part);
         }
         if has_come_again {
             self.keep_evidence(&occurrence, now);
@@ -231,8 +230,7 @@
     /// Keeps the evidence against a content that has come again for as long as the content would be held.
     fn keep_evidence(&mut self, occurrence: &Occurrence, now: Duration) {
         let parts = parts_of(occurrence);
-        let is_content = |part: &&u64| **part & CONTENT_BIT != 0;
-        for content in parts.iter().filter(is_content) {
+        for content in parts.iter().filter(|part| is_content(**part)) {
             for evidence in &mut self.evidence {
                 if contains(&evidence.occurrence, &[*content]) {
                     evidence.expires_at = evidence.expires_at.max(now + full_time(&parts));
@@ -476,7 +474,7 @@
         active.count()
     }
 
-    /// Long holds in force that are not stored, or not in their present state.
+    /// Holds in force that are not stored, or not with their present parts.
     ///
     /// ```
     /// use std::time::Duration;
@@ -491,11 +489,7 @@
     /// ```
     pub fn unstored(&self, now: Duration) -> Vec<Unstored> {
         let active = self.holds.iter().filter(|hold| now < hold.until);
-        let long = active.filter(|hold| {
-            let is_long = hold.is_confirmed || hold.crashes >= LONG_HOLD_CRASHES;
-            has_content(&hold.parts) || is_long
-        });
-        let unstored = long.filter(|hold| hold.stored_as != Some(hold.key()));
+        let unstored = active.filter(|hold| hold.stored_as != Some(hold.key()));
         let unstored = unstored.map(|hold| {
             let key = hold.key();
             Unstored {
@@ -511,7 +505,7 @@
         unstored.collect()
     }
 
-    /// Records that a hold is stored in its present state.
+    /// Records that a hold is stored.
     pub fn stored(&mut self, key: u64) {
         let holds = self.holds.iter_mut();
         for hold in holds.filter(|hold| hold.key() == key) {
@@ -559,7 +553,7 @@
     /// assert_eq!(quarantine.take_released(Duration::ZERO), [7]);
     /// ```
     pub fn restore(&mut self, hold: Hold, now: Duration) {
-        let is_sound = |part: &u64| part & CONTENT_BIT != 0 && self.sound.contains_key(part);
+        let is_sound = |part: &u64| is_content(*part) && self.sound.contains_key(part);
         if hold.parts.iter().any(is_sound) {
             self.released.extend(hold.stored_as);
             return;
@@ -759,8 +753,9 @@
             announced: VecDeque::new(),
         };
         // It has crashed endpoints since it was found sound, if it ever was.
-        self.sound
-            .retain(|part, _| part & CONTENT_BIT == 0 || !hold.parts.contains(part));
+        for content in hold.parts.iter().filter(|part| is_content(**part)) {
+            self.sound.remove(content);
+        }
         // Parts that a new report tells apart have been probed together.
         for wider in &self.holds {
             if is_within(&hold.parts, &wider.parts) {
--- a/src/serving/quarantine/store.rs
+++ b/src/serving/quarantine/store.rs
@@ -1,4 +1,4 @@
-//! Keeps long holds in the store, so that they outlive the daemons. They are rows of the daemons' table, which a daemon
+//! Keeps holds in the store, so that they outlive the daemons. They are rows of the daemons' table, which a daemon
 //! reads before it serves.
 
 use std::collections::HashMap;
