Bound the time for which a take-up waits for the stored beginnings

A take-up of an unknown stream waited up to 1.2 s for a silent store, and those behind it waited one after another. What can't be served is to be refused at once: a read ends after 0.4 s, and those that waited beside it share its outcome. Found in a review; no test shows it.

--- a/src/serving/lineage/store.rs
+++ b/src/serving/lineage/store.rs
@@ -9,7 +9,7 @@
 use jsonrpsee::server::RpcModule;
 use jsonrpsee::types::ErrorObjectOwned;
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::admission;
 use crate::coordination::lineage::Beginnings;
@@ -57,6 +57,9 @@
 /// Minimum interval between reads of the stored beginnings.
 const READ_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Timeout of such a read; a caller waits for it.
+const READ_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Name of the RPC method by which a daemon writes for others.
 const METHOD: &str = "begun";
 
@@ -237,15 +240,20 @@
         return;
     }
     let channel = Channel::open(node.settings.store_address);
-    match feed::read::list(node, &channel, TABLE).await {
-        Ok(page) => {
+    let list = feed::read::list(node, &channel, TABLE);
+    let error = match timeout(READ_TIMEOUT, list).await {
+        Ok(Ok(page)) => {
             *read_at = Some(now);
             adopt(node, &page.rows);
+            return;
         }
-        Err(error) => node
-            .journal
-            .line(|| spdlog::info!("versions: cannot read beginnings", kv: { error: = error })),
-    }
+        Ok(Err(error)) => error,
+        Err(_) => feed::Error::Silent,
+    };
+    // Those that waited beside this read don't try in vain, too.
+    *read_at = Some(node.now());
+    node.journal
+        .line(|| spdlog::info!("versions: cannot read beginnings", kv: { error: = error }));
 }
 
 fn adopt(node: &Node, rows: &[Row]) {
