Take a probe of a held request when it is sent, not before

A sound request that was on three endpoints when they ended for another reason is held until a probe shows that it is sound. Now it is taken once a connection is open.

--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -400,6 +400,26 @@
         longest?.parts.first().copied()
     }
 
+    /// Whether a request with these parts, which are held, could be sent as a probe now.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
+    /// let mut quarantine = Quarantine::default();
+    /// let hold = Hold { parts: vec![1], left_millis: 30_000, ..Hold::default() };
+    /// quarantine.adopt(hold, Duration::ZERO);
+    /// assert!(!quarantine.may_probe(&[1, 2], Duration::from_secs(2)));
+    /// assert!(quarantine.may_probe(&[1, 2], Duration::from_secs(3)));
+    /// ```
+    pub fn may_probe(&self, parts: &[u64], now: Duration) -> bool {
+        // A crash would not show which of several holds it is due to.
+        let mut matching = self.holds_of(parts, now);
+        let (Some(hold), None) = (matching.next(), matching.next()) else {
+            return false;
+        };
+        hold.may_be_probed(now)
+    }
+
     /// Whether a request with these parts, which are held, may be sent as a probe. The caller sends it if so: until the
     /// probe's outcome is known, further ones are only allowed after a timeout. A daemon that asks this must be the only
     /// one that does so for the hold that [`Self::matching`] tells, as far as it knows.
@@ -415,15 +435,11 @@
     /// assert_eq!(quarantine.probe(&[1, 2], Duration::from_secs(4)), None);
     /// ```
     pub fn probe(&mut self, parts: &[u64], now: Duration) -> Option<Probe> {
-        let holds = self.holds.iter_mut();
-        let mut matching = holds.filter(|hold| now < hold.until && hold.matches(parts));
-        // A crash would not show which of several holds it is due to.
-        let (Some(hold), None) = (matching.next(), matching.next()) else {
-            return None;
-        };
-        if !hold.may_be_probed(now) {
+        if !self.may_probe(parts, now) {
             return None;
         }
+        let mut holds = self.holds.iter_mut();
+        let hold = holds.find(|hold| now < hold.until && hold.matches(parts))?;
         hold.probed_at = Some(now);
         hold.probes += 1;
         match has_content(&hold.parts) {
--- a/src/serving/quarantine/mod.rs
+++ b/src/serving/quarantine/mod.rs
@@ -53,34 +53,33 @@
     Some(left.min(MAX_RETRY_AFTER))
 }
 
-/// Whether a call may be sent although it is held, to find out whether it is sound. One daemon of the fleet does this
-/// for a hold; for the hold of a whole request, it first takes the probe in the store, since daemons that don't hear each
-/// other or have started anew don't know of other probes.
+/// Whether a call that is held could be sent to find out whether it is sound. One daemon of the fleet does this for a hold.
+pub fn may_probe(node: &Node, call: &Call, caller: &str) -> bool {
+    let (quarantine, now) = (node.quarantine.lock(), node.now());
+    let digests = digests(&quarantine, call, caller);
+    let hold = quarantine.matching(&digests, now);
+    let names = node.peers.names();
+    let prober = hold.and_then(|hold| choose_daemon(hold, &names));
+    prober == Some(&node.settings.name) && quarantine.may_probe(&digests, now)
+}
+
+/// Whether a call that is held may be sent at once as a probe. The probe of a whole request is first taken in the store,
+/// since daemons that don't hear each other or have started anew don't know of other probes.
 pub async fn probe(node: &Node, call: &Call, caller: &str) -> bool {
-    let now = node.now();
-    let (hold, probe) = {
+    let probe = {
         let mut quarantine = node.quarantine.lock();
         let digests = digests(&quarantine, call, caller);
-        let Some(hold) = quarantine.matching(&digests, now) else {
-            return false;
-        };
-        let names = node.peers.names();
-        let prober = choose_daemon(hold, &names);
-        if prober != Some(&node.settings.name) {
-            return false;
-        }
-        let Some(probe) = quarantine.probe(&digests, now) else {
-            return false;
-        };
-        (hold, probe)
+        quarantine.probe(&digests, node.now())
+    };
+    let is_taken = match probe {
+        Some(Probe::Numbered(key, number)) => store::take_probe(node, key, number).await,
+        Some(Probe::Free) => true,
+        None => false,
     };
-    if let Probe::Numbered(key, number) = probe
-        && !store::take_probe(node, key, number).await
-    {
-        return false;
+    if is_taken {
+        spdlog::info!("quarantine: probe", kv: { request: = call.id });
     }
-    spdlog::info!("quarantine: probe", kv: { request: = call.id, hold: = journal::hex(&[hold]) });
-    true
+    is_taken
 }
 
 /// Daemon that acts for the fleet on the hold with this digest.
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -54,7 +54,7 @@
     match ctx.held() {
         None => node.demand.record(&ctx.call),
         Some(_) => {
-            ctx.is_probe = quarantine::probe(node, &ctx.call, ctx.admission.caller()).await;
+            ctx.is_probe = quarantine::may_probe(node, &ctx.call, ctx.admission.caller());
         }
     }
     if ctx.takes_up_stream() {
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -150,7 +150,7 @@
     pub token: TaskTrackerToken,
     /// What the request is waiting for.
     pub phase: Phase,
-    /// Whether the request may be sent once although it is held.
+    /// Whether the request may be sent once, as a probe, although it is held.
     pub is_probe: bool,
 }
 
@@ -244,11 +244,10 @@
     /// # Errors
     /// The reason why the request can't be sent now.
     pub async fn choose(&self) -> Result<Choice, Unavailable> {
-        let is_probe = self.is_probe && self.delivered == 0;
         if self.takes_up_stream() && self.version.is_none() {
             return Err(Unavailable::Origin);
         }
-        if !is_probe && self.held().is_some() {
+        if !self.is_probe && self.held().is_some() {
             return Err(Unavailable::Quarantine);
         }
         let choice = loop {
@@ -274,8 +273,11 @@
             statement::release(&self.node, &choice.endpoint);
             return None;
         };
+        let is_probe = std::mem::take(&mut self.is_probe);
+        let may_be_sent =
+            !is_probe || quarantine::probe(&self.node, &self.call, self.admission.caller()).await;
         let is_closed = choice.endpoint.tracker.lock().is_closed(self.node.now());
-        if is_closed || self.is_out_of_time() {
+        if !may_be_sent || is_closed || self.is_out_of_time() {
             // This has changed while the connection was opened, or while this process did not run.
             statement::release(&self.node, &choice.endpoint);
             return None;
