--- a/src/serving/limits.rs
+++ b/src/serving/limits.rs
@@ -10,7 +10,7 @@
 use http::StatusCode;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::Node;
 use super::admit::{Admission, Refusal};
@@ -29,6 +29,9 @@
 /// Maximum time for which a request waits for units.
 const MAX_WAIT: Duration = Duration::from_millis(300);
 
+/// Maximum time for which a request that takes a stream up waits for units; its caller gives up after a gap of 2 s.
+const MAX_RESUME_WAIT: Duration = Duration::from_secs(1);
+
 /// Time for which a home that did not respond is not asked.
 const SILENCE_PAUSE: Duration = Duration::from_secs(2);
 
@@ -89,8 +92,19 @@
                 balance.expect(units, now);
             }
         });
-        let taken = self.reserve(node, &quota, &homes, units).await;
-        taken.map_err(|wait| self.refuse(node, workspace, call, units, wait))
+        let started = node.now();
+        loop {
+            let Err(wait) = self.reserve(node, &quota, &homes, units).await else {
+                return Ok(());
+            };
+            // The caller of a stream that broke off has received a part of it, and may have no further attempt.
+            let may_wait =
+                call.last_event.is_some() && node.now() + wait < started + MAX_RESUME_WAIT;
+            if !may_wait {
+                return Err(self.refuse(node, workspace, call, units, wait));
+            }
+            sleep(wait.max(MIN_WAIT)).await;
+        }
     }
 
     /// Takes one request to an endpoint that takes `rate_limit` requests per second from all daemons.
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -277,6 +277,7 @@
             status = refusal.status.as_u16(),
             reason = refusal.reason,
             retry_after_ms = refusal.retry_after.map_or(0, |wait| wait.as_millis() as u64),
+            resumes: = call.resumes.as_deref().unwrap_or("-"),
         });
     });
     refusal_response(refusal)
