Remove stored holds once they have ended

A hold that ended by time left its row behind, as nothing woke the task that removes it; ten minutes later a daemon would have adopted it again with its next list, and refused sound requests. Found when reading the change. Evidence: stored_hold_is_removed_once_it_has_ended timed out before and passes.

--- a/src/serving/quarantine/store.rs
+++ b/src/serving/quarantine/store.rs
@@ -28,6 +28,9 @@
 /// Time for which the other daemons leave a hold to the one that is to store it, in a small fleet.
 const TURN: Duration = Duration::from_secs(1);
 
+/// Interval at which holds that have ended are looked for.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -55,9 +58,13 @@
             let own_released = released.into_iter().filter(|key| own(*key)).collect();
             let is_done = write(&node, &channel, &due, own_released).await;
             let is_waiting = unstored.len() > due.len();
+            let pause = match is_done && !is_waiting {
+                true => SWEEP_INTERVAL,
+                false => RETRY_PAUSE,
+            };
             tokio::select! {
                 () = node.holds_changed.notified(), if is_done => {}
-                () = sleep(jitter(RETRY_PAUSE)), if !is_done || is_waiting => {}
+                () = sleep(jitter(pause)) => {}
             }
         }
     };
