--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine/mod.rs
@@ -13,14 +13,17 @@
 //!
 //! Holds are to be kept outside the daemons, so that they outlive them.
 
+mod message;
+mod stored;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use super::attribution::{self, Evidence, Finding, MIN_CRASHES, contains, count_crashes};
 use super::held::{Announcement, Held, full_time, has_content, is_content, is_within};
+pub use message::{Hold, Occurrence, Probe, Suspect};
+pub use stored::Unstored;
 
 /// Time for which an occurrence counts, and for which a hold is remembered after its end: 10 min.
 const EVIDENCE_TTL: Duration = Duration::from_secs(600);
@@ -64,78 +67,6 @@
 /// Maximum number of parts of a hold that is announced to peers.
 const MAX_ANNOUNCED_PARTS: usize = 16;
 
-/// A part of a request that was at an endpoint when it ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
-pub struct Suspect {
-    /// Digest of the part.
-    #[serde(rename = "p")]
-    pub part: u64,
-    /// Whether the reporting daemon has seen a request with this part outlive its start within the last minute.
-    #[serde(rename = "v", default, skip_serializing_if = "std::ops::Not::not")]
-    pub vouched: bool,
-}
-
-/// A request that had just got its response head when its endpoint ended.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
-pub struct Occurrence {
-    /// Digest of the endpoint's start that ended.
-    #[serde(rename = "c")]
-    pub crash: u64,
-    /// Digest of the request.
-    #[serde(rename = "r")]
-    pub request: u64,
-    /// Parts of the request's prompt.
-    #[serde(rename = "p")]
-    pub parts: Vec<Suspect>,
-}
-
-/// Parts that are held together, as daemons announce them to each other.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize, Serialize)]
-pub struct Hold {
-    /// Digests of the parts, in ascending order.
-    #[serde(rename = "p")]
-    pub parts: Vec<u64>,
-    /// Time left, in milliseconds.
-    #[serde(rename = "t")]
-    pub left_millis: u64,
-    /// Number of crashes that the parts account for.
-    #[serde(rename = "n")]
-    pub crashes: usize,
-    /// Digest of the last crash.
-    #[serde(rename = "c")]
-    pub last_crash: u64,
-    /// Time since the last crash, in milliseconds.
-    #[serde(rename = "a", default)]
-    pub age_millis: u64,
-    /// Whether a probe has crashed an endpoint.
-    #[serde(rename = "f", default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_confirmed: bool,
-    /// Key under which the hold is stored.
-    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
-    pub stored_as: Option<u64>,
-}
-
-/// A hold that is to be stored.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Unstored {
-    /// Key to store it under.
-    pub key: u64,
-    /// Key under which an earlier state of it is stored.
-    pub replaces: Option<u64>,
-    /// The hold, without its age.
-    pub hold: Hold,
-}
-
-/// Permission to send a request that is held.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Probe {
-    /// The request may be sent.
-    Free,
-    /// The request may be sent by the daemon that takes this probe first, by the key of the hold and the number of the
-    /// probe.
-    Numbered(u64, u32),
-}
-
 /// Evidence against parts of prompts, and the holds that follow from it.
 ///
 /// ```
@@ -490,97 +421,6 @@
         active.count()
     }
 
-    /// Holds in force that are not stored, or not with their present parts.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
-    /// let mut quarantine = Quarantine::default();
-    /// let hold = Hold { parts: vec![1 << 63], left_millis: 20_000, ..Hold::default() };
-    /// quarantine.adopt(hold, Duration::ZERO);
-    /// let unstored = quarantine.unstored(Duration::ZERO);
-    /// assert_eq!(unstored[0].hold.parts, [1 << 63]);
-    /// quarantine.stored(unstored[0].key);
-    /// assert!(quarantine.unstored(Duration::ZERO).is_empty());
-    /// ```
-    pub fn unstored(&self, now: Duration) -> Vec<Unstored> {
-        let active = self.holds.iter().filter(|hold| now < hold.until);
-        let unstored = active.filter(|hold| hold.stored_as != Some(hold.key()));
-        let unstored = unstored.map(|hold| {
-            let key = hold.key();
-            Unstored {
-                key,
-                replaces: hold.stored_as,
-                hold: Hold {
-                    age_millis: 0,
-                    stored_as: Some(key),
-                    ..announce(hold, now)
-                },
-            }
-        });
-        unstored.collect()
-    }
-
-    /// Records that a hold is stored.
-    pub fn stored(&mut self, key: u64) {
-        let holds = self.holds.iter_mut();
-        for hold in holds.filter(|hold| hold.key() == key) {
-            hold.stored_as = Some(key);
-        }
-    }
-
-    /// Takes the keys of stored holds that are not in force any more.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
-    /// let mut quarantine = Quarantine::default();
-    /// let hold = Hold { parts: vec![1], left_millis: 20_000, stored_as: Some(7), ..Hold::default() };
-    /// quarantine.restore(hold, Duration::ZERO);
-    /// assert!(quarantine.take_released(Duration::ZERO).is_empty());
-    /// assert_eq!(quarantine.take_released(Duration::from_secs(20)), [7]);
-    /// assert!(quarantine.take_released(Duration::from_secs(20)).is_empty());
-    /// ```
-    pub fn take_released(&mut self, now: Duration) -> Vec<u64> {
-        let ended = self.holds.iter_mut().filter(|hold| now >= hold.until);
-        let ended = ended.filter_map(|hold| hold.stored_as.take());
-        self.released.extend(ended);
-        let active = self.holds.iter().filter(|hold| now < hold.until);
-        let stored: BTreeSet<u64> = active.filter_map(|hold| hold.stored_as).collect();
-        let released = std::mem::take(&mut self.released);
-        released.difference(&stored).copied().collect()
-    }
-
-    /// Has the removal of a stored hold tried again.
-    pub fn release_again(&mut self, key: u64) {
-        self.released.insert(key);
-    }
-
-    /// Adopts a hold that was stored, unless a content of it was found sound since.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use persimmoncroft::coordination::quarantine::{Hold, Quarantine};
-    /// let mut quarantine = Quarantine::default();
-    /// let hold = Hold { parts: vec![1 << 63], left_millis: 20_000, stored_as: Some(7), ..Hold::default() };
-    /// quarantine.survived(&[1 << 63], Duration::ZERO);
-    /// quarantine.restore(hold, Duration::ZERO);
-    /// assert_eq!(quarantine.count(Duration::ZERO), 0);
-    /// assert_eq!(quarantine.take_released(Duration::ZERO), [7]);
-    /// ```
-    pub fn restore(&mut self, hold: Hold, now: Duration) {
-        let is_sound = |part: &u64| is_content(*part) && self.sound.contains_key(part);
-        if hold.parts.iter().any(is_sound) {
-            self.released.extend(hold.stored_as);
-            return;
-        }
-        let known = self.holds.iter_mut().find(|it| it.parts == hold.parts);
-        match known {
-            Some(known) => known.stored_as = hold.stored_as,
-            None => drop(self.adopt(hold, now)),
-        }
-    }
-
     /// Adopts a peer's hold; of two holds of the same parts, the longer time counts. Parts that were found sound after
     /// the hold's last crash are left out. Returns those that surely were, in ascending order: the peer has missed it.
     ///
