Keep beginnings of streams that come in while others are written

Callers whose stream had begun in that moment were refused when they took it up after a kill. Cause: rows stayed in the queue while they were written, peers added to the last of them meanwhile, and the whole row was then dropped as written. Rows are taken out of the queue first now, and put back if the write fails. Found when reading the change. Evidence: beginnings_that_come_during_a_write_are_stored, with a store that takes 300 ms for a write, timed out before in three of three runs and passes in three of three.

--- a/src/serving/lineage/store.rs
+++ b/src/serving/lineage/store.rs
@@ -102,6 +102,27 @@
         let surplus = self.waiting.len().saturating_sub(MAX_WAITING);
         self.waiting.drain(..surplus);
     }
+
+    /// Takes the rows to write next, with their keys; others may be added while they are written.
+    fn take(&mut self, prefix: &str) -> Vec<(Name, Value)> {
+        let count = self.waiting.len().min(MAX_ROWS);
+        let rows = self.waiting.drain(..count).zip(self.next..);
+        let rows: Vec<(Name, Value)> = rows
+            .map(|(begun, number)| {
+                let at = unix_millis();
+                (format!("{prefix}/{number}").into(), Value { at, begun })
+            })
+            .collect();
+        self.next += rows.len() as u64;
+        rows
+    }
+
+    /// Keys of rows that are no longer needed.
+    fn outdated(&self, now: Duration) -> Vec<Name> {
+        let old = self.written.iter().filter(|(_, at)| *at + ROW_TTL <= now);
+        let old = old.map(|(key, _)| key).chain(&self.abandoned);
+        old.take(MAX_ROWS).cloned().collect()
+    }
 }
 
 fn count(beginnings: &Beginnings) -> usize {
@@ -177,55 +198,47 @@
 /// Writes the beginnings that wait, and removes the rows that are no longer needed.
 async fn write(node: &Node, channel: &Channel) {
     let now = node.now();
-    let (keys, change, is_first) = {
+    let (rows, removed, is_first) = {
         let mut writer = node.lineage.writer.lock();
-        let mut change = Change::default();
-        let mut keys = Vec::new();
-        for begun in writer
-            .waiting
-            .iter()
-            .take(MAX_ROWS)
-            .cloned()
-            .collect::<Vec<_>>()
-        {
-            let key: Name =
-                format!("{}/{}/{}", node.settings.name, node.session, writer.next).into();
-            writer.next += 1;
-            let value = Value {
-                at: unix_millis(),
-                begun,
-            };
-            let value = Bytes::from(serde_json::to_vec(&value).unwrap_or_default());
-            keys.push((key.clone(), now));
-            change.write.push((TABLE.into(), key, value));
-        }
-        let old = writer.written.iter().filter(|(_, at)| *at + ROW_TTL <= now);
-        let old = old.map(|(key, _)| key.clone());
-        let old: Vec<Name> = old
-            .chain(writer.abandoned.iter().cloned())
-            .take(MAX_ROWS)
-            .collect();
-        change.remove = old.into_iter().map(|key| (TABLE.into(), key)).collect();
-        let is_first = writer.written.is_empty() && !keys.is_empty();
-        (keys, change, is_first)
+        let is_first = writer.written.is_empty();
+        let prefix = format!("{}/{}", node.settings.name, node.session);
+        (writer.take(&prefix), writer.outdated(now), is_first)
     };
-    if change.write.is_empty() && change.remove.is_empty() {
+    if rows.is_empty() && removed.is_empty() {
         return;
     }
+    let write = rows.iter().map(|(key, value)| {
+        let value = Bytes::from(serde_json::to_vec(value).unwrap_or_default());
+        (TABLE.into(), key.clone(), value)
+    });
+    let change = Change {
+        expected: Vec::new(),
+        write: write.collect(),
+        remove: removed
+            .iter()
+            .map(|key| (TABLE.into(), key.clone()))
+            .collect(),
+    };
+    let has_rows = !rows.is_empty();
     match node.commit(channel, &change).await {
         Ok(_) => {
             let mut writer = node.lineage.writer.lock();
-            writer.waiting.drain(..keys.len());
+            let keys = rows.into_iter().map(|(key, _)| (key, now));
             writer.written.extend(keys);
-            let is_removed = |key: &Name| change.remove.iter().any(|(_, removed)| removed == key);
-            writer.written.retain(|(key, _)| !is_removed(key));
-            writer.abandoned.retain(|key| !is_removed(key));
+            writer.written.retain(|(key, _)| !removed.contains(key));
+            writer.abandoned.retain(|key| !removed.contains(key));
+        }
+        Err(error) => {
+            let mut writer = node.lineage.writer.lock();
+            for (_, value) in rows.into_iter().rev() {
+                writer.waiting.push_front(value.begun);
+            }
+            node.journal.line(
+                || spdlog::info!("versions: cannot store beginnings", kv: { error: = error }),
+            );
         }
-        Err(error) => node
-            .journal
-            .line(|| spdlog::info!("versions: cannot store beginnings", kv: { error: = error })),
     }
-    if is_first {
+    if is_first && has_rows {
         // Rows of an earlier start of this daemon may be left.
         read(node, now).await;
     }
