--- a/src/coordination/held.rs
+++ b/src/coordination/held.rs
@@ -17,7 +17,7 @@
 pub(super) const CONTENT_HOLD: Duration = Duration::from_secs(24 * 3600);
 
 /// Maximum number of probes of a group with a whole request, over all daemons.
-const MAX_CONTENT_PROBES: u32 = 2;
+pub const MAX_CONTENT_PROBES: u32 = 2;
 
 /// Time after the first probe of a group with a whole request from which the second one is let through: 60 s.
 const SECOND_PROBE_DELAY: Duration = Duration::from_secs(60);
--- a/src/coordination/lineage.rs
+++ b/src/coordination/lineage.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::recency::forget_older;
 use crate::state::record::Name;
 
 /// Time for which the beginning of a stream is remembered; no stream lasts longer. 60 s.
@@ -97,12 +98,7 @@
 
     fn insert(&mut self, id: u64, version: Name, now: Duration) {
         self.known.insert(id, Stream { version, at: now });
-        if self.known.len() > MAX_STREAMS {
-            let mut times: Vec<Duration> = self.known.values().map(|stream| stream.at).collect();
-            let (_, median, _) = times.select_nth_unstable(MAX_STREAMS / 2);
-            let median = *median;
-            self.known.retain(|_, stream| stream.at > median);
-        }
+        forget_older(&mut self.known, MAX_STREAMS, |stream| stream.at);
     }
 }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -32,6 +32,7 @@
 pub mod queue;
 pub mod ramp;
 pub mod reader;
+pub mod recency;
 pub mod reference;
 pub mod rendezvous;
 pub mod replication;
--- a/src/coordination/quarantine/mod.rs
+++ b/src/coordination/quarantine/mod.rs
@@ -21,7 +21,9 @@
 use std::time::Duration;
 
 use super::attribution::{self, Evidence, Finding, MIN_CRASHES, contains, count_crashes};
+pub use super::held::MAX_CONTENT_PROBES;
 use super::held::{Announcement, Held, full_time, has_content, is_content, is_within};
+use super::recency::forget_older;
 pub use message::{Hold, Occurrence, Probe, Suspect};
 pub use stored::Unstored;
 
@@ -518,12 +520,7 @@
 
     fn remember_sound(&mut self, parts: &[u64], now: Duration) {
         self.sound.extend(parts.iter().map(|part| (*part, now)));
-        if self.sound.len() > MAX_SOUND_PARTS {
-            let mut last_uses: Vec<Duration> = self.sound.values().copied().collect();
-            let (_, median, _) = last_uses.select_nth_unstable(MAX_SOUND_PARTS / 2);
-            let median = *median;
-            self.sound.retain(|_, last_use| *last_use > median);
-        }
+        forget_older(&mut self.sound, MAX_SOUND_PARTS, |last_use| *last_use);
     }
 
     fn expire(&mut self, now: Duration) {
--- a/src/serving/endpoint.rs
+++ b/src/serving/endpoint.rs
@@ -8,6 +8,7 @@
 use parking_lot::Mutex;
 
 use crate::coordination::health::Health;
+use crate::coordination::recency::forget_older;
 use crate::coordination::warmup::Warmup;
 use crate::state::call::Part;
 use crate::state::record::Name;
@@ -71,12 +72,7 @@
         for (digest, _) in digests {
             self.parts.insert(*digest, self.clock);
         }
-        if self.parts.len() > MAX_PROMPT_PARTS {
-            let mut last_uses: Vec<u64> = self.parts.values().copied().collect();
-            let (_, median, _) = last_uses.select_nth_unstable(MAX_PROMPT_PARTS / 2);
-            let median = *median;
-            self.parts.retain(|_, last_use| *last_use > median);
-        }
+        forget_older(&mut self.parts, MAX_PROMPT_PARTS, |last_use| *last_use);
     }
 }
 
--- a/src/serving/feed/mod.rs
+++ b/src/serving/feed/mod.rs
@@ -429,6 +429,7 @@
         let notice = (node.codec.notice)(row);
         match &notice {
             Notice::Endpoint(entry) => {
+                // Has its version stored before the first stream needs it.
                 lineage::may_begin(node, &entry.service, &entry.version);
                 endpoints.insert(entry.id.clone());
             }
--- a/src/serving/lineage/admission.rs
+++ b/src/serving/lineage/admission.rs
@@ -7,7 +7,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::lineage::Admitted;
-use crate::coordination::rendezvous;
 use crate::protocol::digest::Body;
 use crate::serving::peers::{self, commit, discover::DAEMON_TABLE};
 use crate::serving::{Node, feed};
@@ -47,11 +46,8 @@
         let admitted = node.lineage.versions.lock().get(service);
         let known: BTreeSet<&Name> = admitted.versions.iter().collect();
         let present: BTreeSet<&Name> = present.iter().collect();
-        let names = node.peers.names();
-        let key = format!("versions/{service}");
-        let own_turn = rendezvous::choose(&key, names.iter(), |name| (*name).clone())
-            == Some(&node.settings.name);
-        let turn = match own_turn {
+        let own = &node.settings;
+        let turn = match node.peers.is_responsible(own, &row_key(service)) {
             true => Duration::ZERO,
             false => TURN * node.peers.interval_factor(),
         };
@@ -99,7 +95,7 @@
 
 /// Writes a row if nobody has changed it since; else reads it.
 async fn store(node: &Node, channel: &Channel, service: &Name, admitted: Admitted) {
-    let key: Name = format!("{PREFIX}{service}").into();
+    let key = row_key(service);
     let value = Value {
         versions: admitted.versions.clone(),
     };
@@ -125,6 +121,10 @@
     }
 }
 
+fn row_key(service: &str) -> Name {
+    format!("{PREFIX}{service}").into()
+}
+
 fn log_failure(node: &Node, service: &Name, error: &feed::Error) {
     node.journal.line(
         || spdlog::info!("versions: cannot store", kv: { service: = service, error: = error }),
--- a/src/serving/lineage/store.rs
+++ b/src/serving/lineage/store.rs
@@ -63,6 +63,9 @@
 /// Name of the RPC method by which a daemon writes for others.
 const METHOD: &str = "begun";
 
+/// Error code of a daemon that has just started.
+const STARTING: i32 = 1;
+
 /// Key by which the daemons of a zone agree on the one that writes.
 const WRITER_KEY: &str = "streams";
 
@@ -294,7 +297,7 @@
 pub fn register(module: &mut RpcModule<Slot>) -> Result<(), jsonrpsee::core::RegisterMethodError> {
     let method = module.register_method(METHOD, |params, slot, _| {
         let beginnings: Beginnings = params.one()?;
-        let starting = || ErrorObjectOwned::owned(1, "starting", None::<()>);
+        let starting = || ErrorObjectOwned::owned(STARTING, "starting", None::<()>);
         let node = slot.get().ok_or_else(starting)?;
         let lineage = &node.lineage;
         lineage.streams.lock().learn(&beginnings, node.now());
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -165,6 +165,13 @@
         self.unknown_sender.notify_one();
     }
 
+    /// Whether this daemon is the one of the fleet that acts on a subject, as far as it knows.
+    pub fn is_responsible(&self, own: &Settings, subject: &str) -> bool {
+        let names = self.names();
+        let chosen = rendezvous::choose(subject, names.iter(), |name| (*name).clone());
+        chosen == Some(&own.name)
+    }
+
     /// Number of daemons that share fleet-wide limits, including this one.
     pub fn count(&self) -> usize {
         self.names.load().len()
@@ -193,7 +200,7 @@
     /// Zero-based position of this daemon among the live ones: larger instances go first, those of one size by name.
     pub fn position(&self, own: &Settings, now: Duration) -> usize {
         // In a large fleet, peers are heard less often than the placer.
-        let silence = PLACER_SILENCE.max(HEARTBEAT_INTERVAL * self.interval_factor() * 5 / 2);
+        let silence = self.heartbeat_silence();
         let inner = self.inner.lock();
         let before = inner.iter().filter(|(name, peer)| {
             let cores = peer.registration.cores;
@@ -337,9 +344,14 @@
         heard < all
     }
 
+    /// Silence after which a peer is not live, which allows for a lost heartbeat.
+    fn heartbeat_silence(&self) -> Duration {
+        PLACER_SILENCE.max(HEARTBEAT_INTERVAL * self.interval_factor() * 5 / 2)
+    }
+
     /// Number of peers that were heard lately, and of all peers.
     fn count_heard(&self, now: Duration) -> (usize, usize) {
-        let silence = PLACER_SILENCE.max(HEARTBEAT_INTERVAL * self.interval_factor() * 5 / 2);
+        let silence = self.heartbeat_silence();
         let inner = self.inner.lock();
         let heard = inner
             .values()
--- a/src/serving/peers/sender.rs
+++ b/src/serving/peers/sender.rs
@@ -88,7 +88,13 @@
     let (operator, endpoints) = node.fleet.row_versions();
     let catalog = node.fleet.catalog.load();
     let view = node.fleet.view.load();
-    let versions = node.lineage.versions.lock().clone();
+    let versions = {
+        let versions = node.lineage.versions.lock();
+        let admitted = versions.iter();
+        admitted
+            .map(|(service, it)| (service.clone(), it.clone()))
+            .collect()
+    };
     let in_flight = view.all.iter().filter_map(|(id, endpoint)| {
         let count = endpoint.tracker.in_flight();
         (count > 0).then(|| (id.clone(), count))
@@ -104,10 +110,7 @@
         registration: None,
         holds: quarantine::holds(node),
         statements: node.statements.lock().reports(node.now()),
-        versions: versions
-            .iter()
-            .map(|(service, it)| (service.clone(), it.clone()))
-            .collect(),
+        versions,
         leaving: node.leaving.is_cancelled(),
     }
 }
--- a/src/serving/quarantine/mod.rs
+++ b/src/serving/quarantine/mod.rs
@@ -8,16 +8,13 @@
 use std::time::Duration;
 
 use tokio::time::timeout;
-
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::endpoint::Endpoint;
 use super::{Node, ends, journal, peers};
 use crate::coordination::quarantine::{Hold, Occurrence, Probe, Quarantine, Suspect};
-use crate::coordination::rendezvous;
 use crate::protocol::digest::Body;
 use crate::state::call::Call;
-use crate::state::record::Name;
 
 /// Time after the head of a response within which the end of the endpoint is held against a request that has got an
 /// event.
@@ -58,9 +55,7 @@
     let (quarantine, now) = (node.quarantine.lock(), node.now());
     let digests = digests(&quarantine, call, caller);
     let hold = quarantine.matching(&digests, now);
-    let names = node.peers.names();
-    let prober = hold.and_then(|hold| choose_daemon(hold, &names));
-    prober == Some(&node.settings.name) && quarantine.may_probe(&digests, now)
+    hold.is_some_and(|hold| is_responsible(node, hold)) && quarantine.may_probe(&digests, now)
 }
 
 /// Whether a call that is held may be sent at once as a probe. The probe of a whole request is first taken in the store,
@@ -82,10 +77,10 @@
     is_taken
 }
 
-/// Daemon that acts for the fleet on the hold with this digest.
-fn choose_daemon(digest: u64, names: &[Name]) -> Option<&Name> {
-    let key = format!("quarantine/{digest:x}");
-    rendezvous::choose(&key, names.iter(), |name| (*name).clone())
+/// Whether this daemon acts for the fleet on the hold with this digest.
+fn is_responsible(node: &Node, digest: u64) -> bool {
+    let subject = format!("quarantine/{digest:x}");
+    node.peers.is_responsible(&node.settings, &subject)
 }
 
 /// Records that an endpoint was lost before it had responded to a call, or when it had just begun, with or without an
--- a/src/serving/quarantine/store.rs
+++ b/src/serving/quarantine/store.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use tokio::time::sleep;
 
-use super::choose_daemon;
-use crate::coordination::quarantine::{Hold, Unstored};
+use super::is_responsible;
+use crate::coordination::quarantine::{Hold, MAX_CONTENT_PROBES, Unstored};
 use crate::serving::peers::{commit, discover::DAEMON_TABLE};
 use crate::serving::{Node, jitter};
 use crate::state::record::Name;
@@ -22,9 +22,6 @@
 /// Prefix of the keys of probes that were taken.
 const PROBE_PREFIX: &str = "probe/";
 
-/// Numbers of the probes of a hold that may have been taken.
-const PROBE_NUMBERS: std::ops::RangeInclusive<u32> = 1..=2;
-
 /// Time for which the other daemons leave a hold to the one that is to store it, in a small fleet.
 const TURN: Duration = Duration::from_secs(1);
 
@@ -50,8 +47,7 @@
             for hold in &unstored {
                 seen.entry(hold.key).or_insert(now);
             }
-            let own =
-                |key: u64| choose_daemon(key, &node.peers.names()) == Some(&node.settings.name);
+            let own = |key: u64| is_responsible(&node, key);
             let turn = TURN * node.peers.interval_factor();
             let due = |hold: &&Unstored| own(hold.key) || now >= seen[&hold.key] + turn;
             let due: Vec<&Unstored> = unstored.iter().filter(due).collect();
@@ -143,7 +139,7 @@
 
 /// Keys of all rows of a hold.
 fn rows(key: u64) -> impl Iterator<Item = (Name, Name)> {
-    let probes = PROBE_NUMBERS.map(move |number| probe_key(key, number));
+    let probes = (1..=MAX_CONTENT_PROBES).map(move |number| probe_key(key, number));
     let keys = std::iter::once(hold_key(key)).chain(probes);
     keys.map(|key| (DAEMON_TABLE.into(), key))
 }
