--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,10 +7,10 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from lab import http
-from lab.lab import HOST, main
-from lab.link import Link
-from lab.replica import Replica
+import messages
+from lab import HOST, main
+from links import Link
+from replicas import Replica
 
 ZONES = ["gl-east", "gl-central", "gl-west"]
 # Two daemons in each zone. The first one loses its links to the replicas (a share of 0.17).
@@ -76,7 +76,7 @@
     key = "k0" if kind == "new route" else revoked
     target = target if kind == "new route" else f"/read/{number}"
     headers = [("Host", HOST), ("X-Request-Id", request), ("X-Deadline-Ms", "2500"), ("Authorization", f"Token {key}")]
-    answer = await http.fetch(lab.front(CUT), "GET", target, headers, timeout=4)
+    answer = await messages.fetch(lab.front(CUT), "GET", target, headers, timeout=4)
     status = answer[0] if answer else None
     lab.note("answer", request, kind, "of version", version, "from", CUT, status or "no whole answer")
     if version not in judge.acked:
--- a/review/lab/lab.py
+++ b/review/lab.py
@@ -12,10 +12,10 @@
 import time
 from pathlib import Path
 
-from . import http
-from .store import Store
+import messages
+from store import Store
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 PROGRAM = "target/release/persimmond-platform"
 HOST = "shop.example"
 BOUNDS = {
@@ -132,7 +132,7 @@
         return (self.ips[name], self.ports[0])
 
     async def is_ready(self, name):
-        answer = await http.fetch((self.ips[name], self.ports[1]), "GET", "/persimmoncroft/readiness", [("Host", "x")], timeout=1)
+        answer = await messages.fetch((self.ips[name], self.ports[1]), "GET", "/persimmoncroft/readiness", [("Host", "x")], timeout=1)
         return answer is not None and answer[0] == 200
 
     async def until_ready(self, names, within=20):
--- a/review/lab/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and a runner for the scripts of the review."""
--- a/review/lab/replica.py
+++ b/review/replicas.py
@@ -5,7 +5,7 @@
 import random
 import time
 
-from . import http
+import messages
 
 HEARTBEAT_S = 1.2
 
@@ -89,12 +89,12 @@
         connection = Connection(reader, writer)
         try:
             while True:
-                line, headers = await http.read_head(reader)
-                body = await http.read_body(reader, headers)
+                line, headers = await messages.read_head(reader)
+                body = await messages.read_body(reader, headers)
                 method, target, _ = line.split()
                 await self.before_answer(connection)
                 await self.handle(connection, method, target, headers, body)
-        except (http.Closed, ConnectionError, OSError, asyncio.CancelledError):
+        except (messages.Closed, ConnectionError, OSError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -140,7 +140,7 @@
         self.extra = None
 
     async def send(self, status, headers, body=b""):
-        await self.write(http.encode(f"HTTP/1.1 {status}", headers, body))
+        await self.write(messages.encode(f"HTTP/1.1 {status}", headers, body))
 
     async def write(self, data):
         self.writer.write(data)
@@ -290,7 +290,7 @@
             sent += head
             await connection.write(head)
             for number in range(int(headers.get("last-event-id", 0)) + 1, self.events_of(target) + 1):
-                event = http.chunk(f"id: {number}\ndata: token {number}\n\n".encode())
+                event = messages.chunk(f"id: {number}\ndata: token {number}\n\n".encode())
                 sent += event
                 await connection.write(event)
                 await asyncio.sleep(self.pace_s)
--- a/review/lab/store.py
+++ b/review/store.py
@@ -6,7 +6,7 @@
 import time
 from urllib.parse import parse_qs, unquote
 
-from . import http
+import messages
 
 
 class Gate:
@@ -14,6 +14,8 @@
 
     def __init__(self):
         self.silent = False
+        # When the daemon last asked for changes of each table.
+        self.asked = {}
         # Addresses of replicas as this daemon reaches them.
         self.links = {}
 
@@ -88,11 +90,13 @@
     async def _serve(self, reader, writer, gate=None):
         try:
             while True:
-                line, headers = await http.read_head(reader)
-                body = await http.read_body(reader, headers)
+                line, headers = await messages.read_head(reader)
+                body = await messages.read_body(reader, headers)
                 _, target, _ = line.split()
                 path, _, text = target.partition("?")
                 query = {name: values[0] for name, values in parse_qs(text, keep_blank_values=True).items()}
+                if gate and path == "/persimmoncroft/rows-feed":
+                    gate.asked[query["TableName"]] = time.monotonic()
                 if gate and gate.silent:
                     await asyncio.sleep(3600)
                 await asyncio.sleep(0.004)
@@ -102,9 +106,9 @@
                 if gate:
                     gate.rewrite(answer)
                 era = [("Store-Era", self.era)]
-                writer.write(http.encode(f"HTTP/1.1 {status}", era, json.dumps(answer).encode()))
+                writer.write(messages.encode(f"HTTP/1.1 {status}", era, json.dumps(answer).encode()))
                 await writer.drain()
-        except (http.Closed, ConnectionError, OSError, asyncio.CancelledError):
+        except (messages.Closed, ConnectionError, OSError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
