--- a/review/replicas.py
+++ b/review/replicas.py
@@ -16,6 +16,8 @@
     def __init__(self, lab, name, service, zone, slots=8):
         self.lab, self.name, self.service, self.zone, self.slots = lab, name, service, zone, slots
         self.boots = 0
+        # The last boot that ended with a crash.
+        self.crashed = 0
         self.id = None
         self.born = 0
         self.server = None
@@ -64,6 +66,9 @@
 
     async def crash(self, down_s=2.0):
         """Ends with all connections; starts again under another id after a while, as an empty one."""
+        if self.crashed == self.boots:
+            return
+        self.crashed = self.boots
         self.lab.note("replica", self.id, "crashes")
         await self.stop()
         old = self.id
