Decide on requests of other daemons by what their senders have in force

Cause: a hop carries the call, and nothing of what its sender knows. The receiver routes and authenticates by its own tables, whatever their age, and the sender passes its 401 and 404 on as its own. The other way round, a receiver with a newer configuration shows effects that the sender undoes with the next request.

Change: the sender names itself and the versions that it has in force: the configuration, and the rows by which a zone and an endpoint were last taken out of use (hop-sender, hop-versions). One with a newer configuration says so, and the sender gets that before it asks again. The same for what the sender knows to be out of use (EVAC, DRAIN): related paths of the same cause.

Builds side by side: the headers are named in Connection, so the build before drops them; its requests are served as before; it is asked only while its last heartbeat covers what is in force here (State.catches_up tells the builds apart).

--- a/src/protocol/digest.rs
+++ b/src/protocol/digest.rs
@@ -179,6 +179,9 @@
     /// Endpoints that the sender can't connect to.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub unreachable: Vec<Name>,
+    /// Whether the sender gets what another daemon has in force before it decides on a request of that daemon.
+    #[serde(rename = "c", default, skip_serializing_if = "std::ops::Not::not")]
+    pub catches_up: bool,
 }
 
 /// Demand that one daemon has received.
--- a/src/serving/codec.rs
+++ b/src/serving/codec.rs
@@ -47,6 +47,18 @@
     Unknown,
 }
 
+impl Notice {
+    /// Whether the row takes an availability zone out of service or an endpoint out of use.
+    pub fn withdraws(&self) -> bool {
+        match self {
+            Self::Zone { out, .. } => *out,
+            Self::Endpoint(entry) => entry.draining,
+            Self::Gone(_) => true,
+            Self::Catalog(_) | Self::Unknown => false,
+        }
+    }
+}
+
 /// Status report of an engine.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Report {
--- a/src/serving/feed/mod.rs
+++ b/src/serving/feed/mod.rs
@@ -425,8 +425,12 @@
     let is_deferred = node.now() < defer_until;
     let mut endpoints = HashSet::new();
     let mut zones = HashSet::new();
+    let mut withdrawn = 0;
     for row in &changes.rows {
         let notice = (node.codec.notice)(row);
+        if notice.withdraws() {
+            withdrawn = withdrawn.max(row.version);
+        }
         match &notice {
             Notice::Endpoint(entry) => {
                 // Has its version stored before the first stream needs it.
@@ -448,10 +452,13 @@
         Table::Operator if changes.all && is_deferred => feed(node, table).list_again(defer_until),
         Table::Operator if changes.all => node.fleet.retain_zones(&zones, node.now()),
         Table::Endpoints if changes.all => {
-            node.fleet
-                .retain_endpoints(&endpoints, defer_until, node.now());
+            let now = node.now();
+            if node.fleet.retain_endpoints(&endpoints, defer_until, now) {
+                // The versions of deleted rows are not listed.
+                withdrawn = changes.version;
+            }
         }
         _ => {}
     }
-    node.fleet.note_read(table, changes);
+    node.fleet.note_read(table, changes, withdrawn);
 }
--- a/src/serving/fleet.rs
+++ b/src/serving/fleet.rs
@@ -11,6 +11,7 @@
 use super::codec::Notice;
 use super::endpoint::{Endpoint, Tracker, View};
 use super::feed::Table;
+use crate::protocol::hop::Versions;
 use crate::state::catalog::{Catalog, Service};
 use crate::state::mirror::Changes;
 use crate::state::record::Name;
@@ -53,6 +54,8 @@
     peer_departed: HashMap<Name, Duration>,
     /// Zones that peers report as out of service, with the expiry of the report.
     peer_zones_out: HashMap<Name, Duration>,
+    /// Versions up to which a peer has reported what is out of use, with the expiry of the report.
+    reported: Option<(Versions, Duration)>,
     /// Removals deferred until endpoints have had time to register again, with the time at which they are due.
     deferred: HashMap<Name, Duration>,
     operator: TableVersion,
@@ -66,6 +69,8 @@
     row: u64,
     /// Version as of which all rows were read.
     listed: u64,
+    /// Version of the latest row that took something out of use.
+    withdrawn: u64,
 }
 
 impl TableVersion {
@@ -111,16 +116,23 @@
         }
     }
 
-    /// Removes endpoints that a full listing of their table no longer contains.
-    pub fn retain_endpoints(&self, listed: &HashSet<Name>, defer_until: Duration, now: Duration) {
+    /// Removes endpoints that a full listing of their table no longer contains; returns whether there are any.
+    pub fn retain_endpoints(
+        &self,
+        listed: &HashSet<Name>,
+        defer_until: Duration,
+        now: Duration,
+    ) -> bool {
         let missing: Vec<Name> = {
             let inner = self.inner.lock();
             let known = inner.registry.iter().map(|entry| entry.id.clone());
             known.filter(|id| !listed.contains(id)).collect()
         };
+        let has_missing = !missing.is_empty();
         for id in missing {
             self.remove_or_defer(id, defer_until, now);
         }
+        has_missing
     }
 
     /// Puts zones back in service that a full listing of the operators' table no longer shows as out.
@@ -316,8 +328,42 @@
         (inner.operator.known(), inner.endpoints.known())
     }
 
-    /// Records that a table has been read.
-    pub fn note_read(&self, table: Table, changes: &Changes) {
+    /// Versions of what is in force here, for daemons that decide on this daemon's requests.
+    pub fn in_force(&self) -> Versions {
+        let inner = self.inner.lock();
+        Versions {
+            catalog: self.catalog_version(),
+            zones: inner.operator.withdrawn,
+            endpoints: inner.endpoints.withdrawn,
+        }
+    }
+
+    /// Whether nothing is missing here of what another daemon has in force.
+    pub fn covers(&self, versions: &Versions, now: Duration) -> bool {
+        let inner = self.inner.lock();
+        let reported = inner.reported.filter(|(_, until)| *until > now);
+        let reported = reported.map_or_else(Versions::default, |(versions, _)| versions);
+        let known = Versions {
+            catalog: self.catalog_version(),
+            zones: inner.operator.known().max(reported.zones),
+            endpoints: inner.endpoints.known().max(reported.endpoints),
+        };
+        known.covers(versions)
+    }
+
+    /// Records that a peer has reported all that is out of use up to some versions.
+    pub fn note_report(&self, versions: Versions, now: Duration) {
+        self.inner.lock().reported = Some((versions, now + PEER_REPORT_TTL));
+    }
+
+    /// Version of the configuration in force; 0 if there is none.
+    pub fn catalog_version(&self) -> u64 {
+        let catalog = self.catalog.load();
+        catalog.as_ref().map_or(0, |catalog| catalog.version)
+    }
+
+    /// Records that a table has been read, and the version of the latest row read that took something out of use.
+    pub fn note_read(&self, table: Table, changes: &Changes, withdrawn: u64) {
         let mut inner = self.inner.lock();
         let version = match table {
             Table::Operator => &mut inner.operator,
@@ -328,6 +374,7 @@
         if changes.all {
             version.listed = version.listed.max(changes.version);
         }
+        version.withdrawn = version.withdrawn.max(withdrawn);
     }
 
     /// This daemon's observations of an endpoint.
--- a/src/serving/forward/mod.rs
+++ b/src/serving/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Hands requests to other daemons while this daemon has lost its links to the endpoints, or to all that could serve the
 //! request. A request makes one such hop at most.
 
+mod catchup;
 pub mod receive;
 mod stream;
 
@@ -24,7 +25,7 @@
 use super::send::{Context, FULL_PAUSE, Phase};
 use crate::coordination::handover;
 use crate::protocol::connection;
-use crate::protocol::hop::{self, Outcome};
+use crate::protocol::hop::{self, Outcome, Versions};
 use crate::state::record::Name;
 use crate::transport::body::read_whole;
 use crate::transport::exchange::{Connection, Error, Pool};
@@ -53,6 +54,8 @@
     paused: Mutex<HashMap<Name, Duration>>,
     /// Requests of other daemons that are in flight here.
     received: Arc<AtomicUsize>,
+    /// Held while this daemon gets what another one has in force.
+    catching_up: tokio::sync::Mutex<()>,
 }
 
 impl Forwards {
@@ -70,6 +73,10 @@
     pub candidate: handover::Candidate,
     /// Address of its listener for other daemons' requests.
     pub address: SocketAddr,
+    /// Versions up to which it has read, as it last said.
+    pub versions: Versions,
+    /// Whether it gets what it lacks before it decides on a request.
+    pub catches_up: bool,
 }
 
 /// A response that another daemon has got for a request.
@@ -90,6 +97,8 @@
     Refused(Refusal),
     /// The other daemon was not reached, or did not take the request.
     Untaken,
+    /// The other daemon did not take the request since it had a newer configuration than this one, which has it now.
+    Behind,
     /// Nothing was sent, which says nothing about the other daemon.
     Unsent,
     /// The request may have run; its response is lost.
@@ -151,11 +160,14 @@
     let node = &ctx.node;
     let now = node.now();
     let (mut peers, zone_cores) = node.peers.with_links_to(&node.settings, needed, now);
+    let in_force = node.fleet.in_force();
     let paused = node.forwards.paused.lock();
     let is_paused = |name: &Name| paused.get(name).is_some_and(|until| *until > now);
     peers.retain(|peer| {
         let name = &peer.candidate.name;
-        !ctx.asked_peers.contains(name) && !is_paused(name)
+        // A daemon that may decide by something older would undo what is in force here.
+        let may_decide = peer.catches_up || peer.versions.covers(&in_force);
+        may_decide && !ctx.asked_peers.contains(name) && !is_paused(name)
     });
     let candidates: Vec<_> = peers.iter().map(|peer| peer.candidate.clone()).collect();
     let mut rng = rand::rng();
@@ -240,6 +252,8 @@
     let mut request = (node.codec.forward)(&ctx.call, left);
     let attempts = ctx.admission.route.attempts.saturating_sub(ctx.runs).max(1);
     hop::set_attempts(request.headers_mut(), attempts);
+    let in_force = node.fleet.in_force();
+    hop::set_sender(request.headers_mut(), &node.settings.name, &in_force);
     ctx.phase = Phase::Sent;
     ctx.runs += 1;
     ctx.delivered += 1;
@@ -257,14 +271,19 @@
         None => return (Sent::Broken, "silent"),
     };
     let (mut parts, body) = response.into_parts();
+    let versions = hop::take_versions(&mut parts.headers);
     let Some(outcome) = hop::take_outcome(&mut parts.headers) else {
         return (Sent::Broken, "foreign");
     };
+    let newer = versions.filter(|versions| !node.fleet.covers(versions, node.now()));
     let sent = match outcome {
         Outcome::Busy => {
             ctx.runs -= 1;
             ctx.delivered -= 1;
-            Sent::Untaken
+            match newer.filter(|newer| newer.catalog > in_force.catalog) {
+                Some(newer) if catchup::catch_up(&node, name, &newer).await => Sent::Behind,
+                _ => Sent::Untaken,
+            }
         }
         Outcome::NotRun => {
             ctx.runs -= 1;
@@ -292,6 +311,10 @@
     if body_is_empty(&parts) {
         put(&node.forwards.pool, name, connection, keep_alive);
     }
+    if matches!(sent, Sent::Behind) {
+        ctx.asked_peers.retain(|asked| asked != name);
+        return (sent, "behind");
+    }
     (sent, outcome.name())
 }
 
--- a/src/serving/forward/receive.rs
+++ b/src/serving/forward/receive.rs
@@ -6,13 +6,14 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use super::Forwards;
-use crate::protocol::hop::{self, Outcome};
+use super::{Forwards, catchup};
+use crate::protocol::hop::{self, Outcome, Versions};
 use crate::serving::admit::{Hop, Refusal};
 use crate::serving::meter::Handover;
 use crate::serving::relay::{Body, refusal_response};
 use crate::serving::send::FULL_PAUSE;
 use crate::serving::{Node, accept};
+use crate::state::record::Name;
 
 /// Requests of other daemons in flight at once for each core of the instance.
 const MAX_PER_CORE: f64 = 2000.0;
@@ -49,6 +50,7 @@
         let refusal = Refusal::invalid(StatusCode::BAD_REQUEST, "not_handed_over");
         return refuse(node, &refusal, Outcome::NotRun);
     };
+    let sender = hop::take_sender(request.headers_mut());
     let slot = match node.is_ready() && !node.links.is_lost() {
         true => Slot::take(&node.forwards, capacity(node)),
         false => None,
@@ -59,6 +61,14 @@
         let refusal = Refusal::busy("no_room_for_peers", FULL_PAUSE);
         return refuse(node, &refusal, Outcome::Busy);
     };
+    if let Some((name, versions)) = &sender
+        && !decides_alike(node, name, versions).await
+    {
+        let refusal = Refusal::busy("versions_differ", FULL_PAUSE);
+        let mut response = refuse(node, &refusal, Outcome::Busy);
+        hop::set_versions(&mut response, &node.fleet.in_force());
+        return response;
+    }
     let hop = Hop {
         attempts,
         slot: Arc::new(slot),
@@ -78,6 +88,13 @@
     response
 }
 
+/// Whether this daemon has all that the sender of a request has in force, and no newer configuration. One that it lacks is got
+/// first; a newer one would be undone by the requests that the sender decides on itself.
+async fn decides_alike(node: &Arc<Node>, sender: &Name, versions: &Versions) -> bool {
+    catchup::catch_up(node, sender, versions).await
+        && node.fleet.catalog_version() <= versions.catalog
+}
+
 /// Number of other daemons' requests that this daemon takes at once.
 fn capacity(node: &Node) -> usize {
     ((node.settings.cores * MAX_PER_CORE) as usize).max(MIN_CAPACITY)
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -79,6 +79,8 @@
     pub handovers: Family<Handover, Counter>,
     /// Requests of other daemons, by how they ended.
     pub received: Family<Handover, Counter>,
+    /// Attempts to get what another daemon has in force, by how they ended.
+    pub catch_ups: Family<Handover, Counter>,
     /// Requests that were not sent to an endpoint for want of room there.
     pub no_room: Counter,
     /// Services whose endpoints must not be made to reject requests.
@@ -141,6 +143,11 @@
             link_probes: metric::register(registry, "link_probes", "Probes of endpoints' links"),
             handovers: metric::register(registry, "handovers", "Requests handed to other daemons"),
             received: metric::register(registry, "received", "Requests taken from other daemons"),
+            catch_ups: metric::register(
+                registry,
+                "catch_ups",
+                "Attempts to get what another daemon has in force",
+            ),
             late: metric::register(registry, "late", "Complete streams not on time"),
             failed_connections: metric::register(
                 registry,
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -27,6 +27,7 @@
 use crate::coordination::window::Window;
 use crate::coordination::{handover, rendezvous};
 use crate::protocol::digest::{Body, Digest, Holding, Registration, State};
+use crate::protocol::hop::Versions;
 use crate::state::record::Name;
 use crate::transport::gossip;
 
@@ -399,6 +400,7 @@
             let State {
                 unlinked,
                 unreachable,
+                catches_up,
                 ..
             } = &peer.state;
             let reaches = needed.is_empty() || needed.iter().any(|id| !unreachable.contains(id));
@@ -412,6 +414,12 @@
                     cores: registration.cores,
                 },
                 address,
+                versions: Versions {
+                    catalog: peer.state.catalog,
+                    zones: peer.state.operator,
+                    endpoints: peer.state.endpoints,
+                },
+                catches_up: *catches_up,
             });
         }
         (linked, zone_cores)
--- a/src/serving/peers/sender.rs
+++ b/src/serving/peers/sender.rs
@@ -130,5 +130,6 @@
         leaving: node.leaving.is_cancelled(),
         unlinked: node.links.is_lost(),
         unreachable: unreachable.take(MAX_UNREACHABLE).cloned().collect(),
+        catches_up: true,
     }
 }
--- a/src/serving/peers/source.rs
+++ b/src/serving/peers/source.rs
@@ -12,6 +12,7 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::protocol::hop::Versions;
 use crate::serving::Node;
 use crate::serving::feed::{self, Table, Update};
 use crate::serving::{lineage, links};
@@ -40,12 +41,47 @@
 /// The node, set once the listener's address is known.
 pub type Slot = Arc<OnceLock<Arc<Node>>>;
 
-/// Response of the RPC method that returns the configuration.
+/// Response of the RPC method that returns the configuration, and what else is in force.
 #[derive(Debug, Clone, Default, Deserialize, Serialize)]
 struct CatalogResponse {
     version: u64,
     /// Configuration text in base64; empty if the caller has that version.
     text: String,
+    /// Version of the row by which an availability zone was last taken out of service.
+    #[serde(rename = "zv", default)]
+    zones: u64,
+    /// Version of the row by which an endpoint was last taken out of use.
+    #[serde(rename = "ev", default)]
+    endpoints: u64,
+    /// Endpoints that are draining or were recently removed.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    gone: Vec<Name>,
+    /// Availability zones out of service.
+    #[serde(rename = "z", default, skip_serializing_if = "Vec::is_empty")]
+    out: Vec<Name>,
+}
+
+impl CatalogResponse {
+    /// What is in force here, for a peer that has a version of the configuration.
+    fn of(node: &Node, known: u64) -> Self {
+        let (gone, out) = node.fleet.peer_report();
+        let Versions {
+            zones, endpoints, ..
+        } = node.fleet.in_force();
+        let (version, text) = node.fleet.source().unwrap_or_default();
+        let text = match version > known {
+            true => STANDARD.encode(&text),
+            false => String::new(),
+        };
+        Self {
+            version,
+            text,
+            zones,
+            endpoints,
+            gone,
+            out,
+        }
+    }
 }
 
 /// Response of the RPC method that returns the changes of a table.
@@ -120,7 +156,8 @@
     })
 }
 
-/// Fetches the configuration from a peer if the peer has a newer version than `known`.
+/// Fetches from a peer what is in force there: the configuration if it is newer than the version `known`, and which zones and
+/// endpoints are out of use if the peer knows of more.
 pub async fn fetch(node: Arc<Node>, from: SocketAddr, known: u64) {
     let call = node
         .calls
@@ -145,8 +182,18 @@
     };
     let notice = (node.codec.notice)(&row);
     let source = row.value.unwrap_or_default();
-    node.fleet
-        .apply(notice, &source, Duration::ZERO, node.now());
+    let now = node.now();
+    node.fleet.apply(notice, &source, Duration::ZERO, now);
+    let versions = Versions {
+        catalog: response.version,
+        zones: response.zones,
+        endpoints: response.endpoints,
+    };
+    if !node.fleet.covers(&versions, now) {
+        let CatalogResponse { gone, out, .. } = response;
+        node.fleet.apply_peer_report(&gone, &out, now);
+        node.fleet.note_report(versions, now);
+    }
 }
 
 /// Builds the RPC module with the methods that peers may call.
@@ -156,13 +203,8 @@
     let mut module = RpcModule::new(slot);
     let registered = module.register_method(CATALOG_METHOD, |params, slot, _| {
         let known: u64 = params.one()?;
-        let source = slot.get().and_then(|node| node.fleet.source());
-        let (version, text) = source.unwrap_or_default();
-        let text = match version > known {
-            true => STANDARD.encode(&text),
-            false => String::new(),
-        };
-        Ok::<CatalogResponse, ErrorObjectOwned>(CatalogResponse { version, text })
+        let response = slot.get().map(|node| CatalogResponse::of(node, known));
+        Ok::<_, ErrorObjectOwned>(response.unwrap_or_default())
     });
     let registered = registered.map(drop).and_then(|()| {
         let method = module.register_async_method(FOLLOW_METHOD, |params, slot, _| async move {
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -98,7 +98,7 @@
                             Err(broken) => ctx = *broken,
                         },
                         Sent::Refused(refusal) => return fail(&mut ctx, failure, refusal),
-                        Sent::Untaken | Sent::Unsent | Sent::Broken => {}
+                        Sent::Untaken | Sent::Behind | Sent::Unsent | Sent::Broken => {}
                     }
                     continue;
                 }
