Let a read on a new connection end, and take over from peers what a daemon lacks

Cause: a daemon that hears of newer rows gives its read up for a listing on a new connection, as the old one may be dead. With a store that does not answer, the next heartbeat had the listing given up too, every 0.4 s: the read never failed, the table never counted as stale, and a daemon takes over what its peers report only then. In the trace: "feed: read given up for a new one" at d2 seven times in 3 s, no "feed: lost", version 3 in force 4.4 s after the ack, when the store was back.

Change: a listing on a new connection is not given up. A daemon that is behind for as long as makes it read again takes over from the peer that is ahead what is in force: the configuration, the zones that are out, the endpoints that leave; each table by its own lag.

--- a/src/serving/feed/mod.rs
+++ b/src/serving/feed/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use futures::FutureExt;
 use http::StatusCode;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -258,6 +259,7 @@
     let mut selector = Selector::default();
     let mut version = None;
     let mut has_failed = false;
+    let mut is_nudged = false;
     loop {
         let readers = node.peers.readers(&node.settings, node.now());
         if feed.take_listing(node.now()) {
@@ -279,10 +281,12 @@
         let started = node.now();
         let result = tokio::select! {
             result = read::read(node, table, &source, &mut channel, version, poll_wait) => result,
-            () = feed.nudge.notified() => {
+            // A read on a new connection has to end, or a store that does not answer is never known to be away.
+            () = feed.nudge.notified(), if !is_nudged => {
                 // The connection may be dead without having been reset.
                 channel = Channel::open(node.settings.store_address);
                 version = None;
+                is_nudged = true;
                 node.journal.line(|| {
                     let waited = node.now().saturating_sub(started);
                     spdlog::info!("feed: read given up for a new one", kv: {
@@ -296,6 +300,9 @@
         };
         let now = node.now();
         has_failed = result.is_err();
+        if std::mem::take(&mut is_nudged) {
+            let _ = feed.nudge.notified().now_or_never();
+        }
         match result {
             Ok(update) => {
                 selector.succeeded(&source);
--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -124,13 +124,10 @@
     }
 }
 
-/// Polls the store again, or fetches from the peer, when the peer has newer versions.
+/// Polls the store again when the peer has had newer versions for a while, and takes over from the peer what is in force.
 fn catch_up(node: &Arc<Node>, state: &State, registration: &Registration, now: Duration) {
     let feed_stale = node.operator_feed.stale(FEED_STALE_AFTER, now)
         || node.endpoint_feed.stale(FEED_STALE_AFTER, now);
-    if feed_stale {
-        node.fleet.apply_peer_report(&state.gone, &state.out, now);
-    }
     let (operator, endpoints) = node.fleet.known_versions();
     if state.operator > operator {
         node.operator_feed.note_peer_ahead(now);
@@ -138,39 +135,42 @@
     if state.endpoints > endpoints {
         node.endpoint_feed.note_peer_ahead(now);
     }
-    let catalog = node.fleet.catalog.load();
-    let version = catalog.as_ref().map_or(0, |catalog| catalog.version);
-    if state.catalog > version && (feed_stale || catalog.is_none()) {
-        tokio::spawn(source::fetch(node.clone(), registration.calls, version));
+    let (mut lacks_zones, mut lacks_endpoints) = (feed_stale, feed_stale);
+    if !feed_stale {
+        lacks_zones = is_late(node, Table::Operator, (operator, state.operator), now);
+        lacks_endpoints = is_late(node, Table::Endpoints, (endpoints, state.endpoints), now);
+    }
+    if lacks_zones {
+        node.fleet.apply_peer_report(&[], &state.out, now);
     }
-    if feed_stale {
-        return;
+    if lacks_endpoints {
+        node.fleet.apply_peer_report(&state.gone, &[], now);
+    }
+    let has_catalog = node.fleet.catalog.load().is_some();
+    let version = node.fleet.catalog_version();
+    if state.catalog > version && (lacks_zones || !has_catalog) {
+        tokio::spawn(source::fetch(node.clone(), registration.calls, version));
     }
+}
+
+/// Whether this daemon's copy of a table has been behind those of its peers for so long that the store may not answer; has the
+/// table read again then.
+fn is_late(node: &Node, table: Table, (own, newer): (u64, u64), now: Duration) -> bool {
+    let (lag, feed) = match table {
+        Table::Operator => (&node.peers.operator_lag, &node.operator_feed),
+        Table::Endpoints => (&node.peers.endpoints_lag, &node.endpoint_feed),
+    };
     let max_lag = (MAX_LAG * node.peers.interval_factor()).min(LONGEST_LAG);
-    for (table, versions, lag, feed) in [
-        (
-            Table::Operator,
-            (operator, state.operator),
-            &node.peers.operator_lag,
-            &node.operator_feed,
-        ),
-        (
-            Table::Endpoints,
-            (endpoints, state.endpoints),
-            &node.peers.endpoints_lag,
-            &node.endpoint_feed,
-        ),
-    ] {
-        if lag.lock().observe(versions, max_lag, now) {
-            feed.nudge.notify_one();
-            node.journal.line(|| {
-                spdlog::info!("peers: a peer has newer rows", kv: {
-                    table:? = table,
-                    peer: = registration.gossip,
-                    own = versions.0,
-                    newer = versions.1,
-                });
+    let is_late = lag.lock().observe((own, newer), max_lag, now);
+    if is_late {
+        feed.nudge.notify_one();
+        node.journal.line(|| {
+            spdlog::info!("peers: a peer has newer rows", kv: {
+                table:? = table,
+                own,
+                newer,
             });
-        }
+        });
     }
+    is_late
 }
