Let followers ask the store while there is time left to apply what it returns

Cause: a follower accepted its reader's copy up to an age of 2.0 s, all of the time within which a change must be in force, and looked at the age only when the reader answered, after 0.6 s if nothing changed. Nothing was left for the read of the store that came then.

Change: one budget. A follower asks the store when the proof of its copy is 1.4 s old (0.6 s less than the bound, of short bounds a third less), whatever call is under way. A reader without such a proof says that it does not read the store. So that followers of a reader that is well don't ask, its answers come with each new proof and not only with changes, and its polls and pauses are short enough for the next proof to arrive before. An answer's age counts from when the reader gave it: it says for how long it held the call, as the answer may have waited, too.

Related paths: the endpoints' table takes the same way with its own bound (DRAIN).

Builds side by side: a reader of the build before does not say how long it held a call, and its age is taken as before; a follower of the build before gets an answer within 0.6 s, as before.

--- a/src/coordination/freshness.rs
+++ b/src/coordination/freshness.rs
@@ -30,6 +30,11 @@
         Some(now.saturating_sub(self.proven_at?))
     }
 
+    /// Whether this proof is newer than another one.
+    pub fn is_newer(&self, other: &Self) -> bool {
+        self.proven_at > other.proven_at
+    }
+
     /// Compares the age with `max_age`; returns whether the copy is too old if that has changed since the last call.
     pub fn check(&mut self, max_age: Duration, now: Duration) -> Option<bool> {
         let is_overdue = self.age(now).is_some_and(|age| age > max_age);
--- a/src/serving/feed/mod.rs
+++ b/src/serving/feed/mod.rs
@@ -29,6 +29,13 @@
 /// asked again.
 const RECOVERY_POLL_WAIT: Duration = Duration::from_millis(300);
 
+/// Shortest time that a poll waits for a change.
+const MIN_POLL_WAIT: Duration = Duration::from_millis(100);
+
+/// Time, of that within which a change must be in force, in which a follower reads the store itself once its reader has no newer
+/// proof; of short times, a third.
+const MAX_READ_TIME: Duration = Duration::from_millis(600);
+
 /// Pause after a change, so that a burst of changes takes few calls; a large fleet pauses longer.
 const CHANGE_PAUSE: Duration = Duration::from_millis(250);
 
@@ -144,9 +151,7 @@
         state.reads_store = *source == Source::Store;
         let was_failing = state.failing_since.take().is_some();
         drop(state);
-        if !changes.rows.is_empty() {
-            self.changed.notify_waiters();
-        }
+        self.changed.notify_waiters();
         was_failing
     }
 
@@ -215,31 +220,33 @@
         self.state.lock().defer_until
     }
 
-    /// Waits until the table has changed after a version, for at most `wait`; `None` if this daemon does not read the
-    /// store.
+    /// Waits for a change of the table after a version, or for proof that there is none, for at most `wait`; `None` if this
+    /// daemon does not read the store, or has had no proof for `max_age`.
     pub async fn follow(
         &self,
         name: &str,
         after: u64,
         wait: Duration,
+        max_age: Duration,
         now: impl Fn() -> Duration,
     ) -> Option<Update> {
         let deadline = tokio::time::Instant::now() + wait;
+        let known = self.state.lock().freshness;
         loop {
             let changed = self.changed.notified();
             {
                 let state = self.state.lock();
-                if !state.reads_store {
-                    return None;
-                }
+                let now = now();
+                let age = state.freshness.age(now).filter(|age| *age <= max_age);
+                let age = age.filter(|_| state.reads_store)?;
                 let changes = state.mirror.changes_after(name, after);
                 let is_over = tokio::time::Instant::now() >= deadline;
-                if !changes.rows.is_empty() || changes.all || is_over {
-                    let now = now();
+                let is_proven = state.freshness.is_newer(&known);
+                if !changes.rows.is_empty() || changes.all || is_proven || is_over {
                     return Some(Update {
                         changes,
                         deferral: state.defer_until.saturating_sub(now),
-                        age: state.freshness.age(now).unwrap_or_default(),
+                        age,
                     });
                 }
             }
@@ -276,7 +283,7 @@
         };
         let poll_wait = match has_failed {
             true => RECOVERY_POLL_WAIT,
-            false => max_age(node, table) / 2,
+            false => poll_wait(node, table),
         };
         let started = node.now();
         let result = tokio::select! {
@@ -334,8 +341,9 @@
                     // Until the peers are known, every daemon would take itself for a reader.
                     sleep(STARTUP).await;
                 } else if source == Source::Store && !changes.rows.is_empty() {
-                    sleep((CHANGE_PAUSE * node.peers.interval_factor()).min(MAX_CHANGE_PAUSE))
-                        .await;
+                    let pause = CHANGE_PAUSE * node.peers.interval_factor();
+                    let max_pause = MAX_CHANGE_PAUSE.min(time_to_prove(node, table) / 2);
+                    sleep(pause.min(max_pause)).await;
                 }
             }
             Err(error @ (Error::Compacted | Error::Restored)) => {
@@ -426,6 +434,25 @@
     }
 }
 
+/// Age of a copy of a table from which a follower asks the store itself: what the store then returns is in force in time.
+pub fn max_follow_age(node: &Node, table: Table) -> Duration {
+    let max_age = max_age(node, table);
+    max_age - MAX_READ_TIME.min(max_age / 3)
+}
+
+/// Time until the copy of a table is so old that followers no longer rely on it.
+fn time_to_prove(node: &Node, table: Table) -> Duration {
+    let age = feed(node, table).age(node.now()).unwrap_or_default();
+    max_follow_age(node, table).saturating_sub(age)
+}
+
+/// Time that a poll waits for a change, after which its answer proves that there was none.
+fn poll_wait(node: &Node, table: Table) -> Duration {
+    let longest = max_age(node, table) / 2;
+    let wait = time_to_prove(node, table) * 4 / 5;
+    wait.max(MIN_POLL_WAIT).min(longest)
+}
+
 /// Puts changes of a table in force.
 fn apply(node: &Node, table: Table, changes: &Changes) {
     let defer_until = feed(node, table).defer_until();
--- a/src/serving/feed/read.rs
+++ b/src/serving/feed/read.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 use tokio::time::timeout;
 
-use super::{Error, RECOVERY_POLL_WAIT, Table, Update, max_age, table_name};
+use super::{Error, RECOVERY_POLL_WAIT, Table, Update, max_follow_age, table_name, time_to_prove};
 use crate::coordination::reader::Source;
 use crate::serving::Node;
 use crate::serving::peers::source;
@@ -40,11 +40,22 @@
             result
         }
         (Source::Peer(reader), after) => {
-            let update = source::follow(node, reader, table, after.unwrap_or_default()).await?;
-            if update.age > max_age(node, table) {
-                return Err(Error::Outdated(reader.clone(), update.age));
+            let follow = source::follow(node, reader, table, after.unwrap_or_default());
+            let update = match time_to_prove(node, table) {
+                // Nothing is gained by another source any more, so any proof is welcome.
+                Duration::ZERO => follow.await?,
+                left => match timeout(left, follow).await {
+                    Ok(update) => update?,
+                    Err(_) => {
+                        let age = max_follow_age(node, table);
+                        return Err(Error::Outdated(reader.clone(), age));
+                    }
+                },
+            };
+            match update.age > max_follow_age(node, table) {
+                true => Err(Error::Outdated(reader.clone(), update.age)),
+                false => Ok(update),
             }
-            Ok(update)
         }
     }
 }
--- a/src/serving/peers/source.rs
+++ b/src/serving/peers/source.rs
@@ -97,6 +97,9 @@
     /// Time for which the reader may have missed changes, in milliseconds.
     #[serde(rename = "p", default)]
     age_millis: u64,
+    /// Time for which the reader has held the call, in milliseconds; unknown of the build before.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    held_millis: Option<u64>,
     /// Key, value in base64 unless the row was deleted, and version.
     #[serde(rename = "r", default)]
     rows: Vec<(Name, Option<String>, u64)>,
@@ -114,11 +117,17 @@
 ) -> Result<Update, feed::Error> {
     let unknown = || feed::Error::UnknownReader(reader.clone());
     let address = node.peers.call_address(reader).ok_or_else(unknown)?;
+    let started = node.now();
     let (params, timeout) = ((table, after), FOLLOW_WAIT + FOLLOW_TIMEOUT);
     let call = node
         .calls
         .call::<_, FollowResponse>(address, FOLLOW_METHOD, &params, timeout);
     let response = call.await.map_err(feed::Error::Peer)?;
+    // The response may have been on its way for long, or have waited while this process did not run.
+    let transit = response.held_millis.map_or(Duration::ZERO, |held| {
+        let taken = node.now().saturating_sub(started);
+        taken.saturating_sub(Duration::from_millis(held))
+    });
     let name: Name = feed::table_name(node, table).into();
     let rows = response.rows.into_iter().map(|(key, value, version)| Row {
         table: name.clone(),
@@ -134,14 +143,17 @@
     Ok(Update {
         changes,
         deferral: Duration::from_millis(response.deferral_millis),
-        age: Duration::from_millis(response.age_millis),
+        age: Duration::from_millis(response.age_millis) + transit,
     })
 }
 
 async fn serve_follow(node: &Node, table: Table, after: u64) -> Option<FollowResponse> {
+    let started = node.now();
     let name = feed::table_name(node, table);
+    let max_age = feed::max_follow_age(node, table);
     let feed = feed::feed(node, table);
-    let update = feed.follow(name, after, FOLLOW_WAIT, || node.now()).await?;
+    let update = feed.follow(name, after, FOLLOW_WAIT, max_age, || node.now());
+    let update = update.await?;
     let changes = update.changes;
     let rows = changes.rows.into_iter().map(|row| {
         let value = row.value.map(|value| STANDARD.encode(value));
@@ -152,6 +164,7 @@
         all: changes.all,
         deferral_millis: update.deferral.as_millis() as u64,
         age_millis: update.age.as_millis() as u64,
+        held_millis: Some(node.now().saturating_sub(started).as_millis() as u64),
         rows: rows.collect(),
     })
 }
