Answer all requests before a planned stop ends, and refuse those that come too late for it

Cause: a request's time is what its caller and its route allow, whatever is left of the grace period. A body that is uploaded slowly is complete after the daemon has stopped accepting connections, is passed on, and is cut 0.3 s before the end with its connection. So is whatever waits or is at an endpoint then.

Change: while a daemon shuts down, no request has more time than is left until 0.3 s before the end of the grace period. What has not begun its response by then gets 502 or 504, which promise nothing; 0.2 s are kept for writing these. A request that is read when less is left than it may take is refused with 503, not run, if it may not be repeated, or if the daemon accepts no connections any more. The log of the stop says how many requests were ended and how many were cut.

--- a/src/serving/admit.rs
+++ b/src/serving/admit.rs
@@ -110,6 +110,12 @@
     let service = service.and_then(|name| catalog.services.get(name));
     let service = service.ok_or_else(not_found)?.clone();
     let time_limit = call.time_left.unwrap_or(route.timeout).min(route.timeout);
+    if node.left_to_serve().is_some_and(|left| left < time_limit)
+        && (node.closing.is_cancelled() || !route.kind.is_repeatable())
+    {
+        // It might be cut off at an endpoint; other daemons have the time.
+        return Err(Refusal::busy("shutting_down", Duration::ZERO));
+    }
     let mut taken = 0.0;
     if let (Some(workspace), None) = (&workspace, &hop) {
         taken = units(workspace, call);
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -84,9 +84,12 @@
 /// after two failed checks.
 const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(2500);
 
-/// Time before the end of the grace period at which requests in flight are aborted.
+/// Time before the end of the grace period at which requests in flight end.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time in which the last responses are written.
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(200);
+
 /// Error starting a daemon.
 #[derive(Debug, Display)]
 pub enum Error {
@@ -169,6 +172,10 @@
     pub leaving: CancellationToken,
     /// Cancelled when idle connections are to be closed.
     pub closing: CancellationToken,
+    /// Time at which all requests end, once shutdown has begun.
+    ends_at: OnceLock<Duration>,
+    /// Cancelled when the requests that are left get their final responses.
+    pub ending: CancellationToken,
     /// Cancelled when background tasks are to stop.
     pub stopped: CancellationToken,
     /// Connections of callers and of the platform's checks; each ends after its last response was written.
@@ -195,6 +202,12 @@
         }
     }
 
+    /// Time left until all requests end; `None` unless the daemon is shutting down.
+    pub fn left_to_serve(&self) -> Option<Duration> {
+        let ends_at = self.ends_at.get()?;
+        Some(ends_at.saturating_sub(self.now()))
+    }
+
     /// Runs a background task until the daemon stops.
     pub async fn until_stopped(&self, work: impl Future<Output = ()>) {
         tokio::select! {
@@ -376,21 +389,29 @@
         let node = &self.node;
         let started = Instant::now();
         let grace = node.tuning.load().grace;
+        let remaining = grace.saturating_sub(GRACE_MARGIN);
+        let _ = node.ends_at.set(node.now() + remaining);
         node.leaving.cancel();
         spdlog::info!("daemon: leaving", kv: { name: = node.settings.name });
         tokio::time::sleep(ACCEPT_AFTER_TERM.min(grace / 2)).await;
         self.accepting.cancel();
         node.closing.cancel();
         node.connections.close();
-        let remaining = grace.saturating_sub(GRACE_MARGIN);
         let remaining = remaining.saturating_sub(started.elapsed());
-        let finished = tokio::time::timeout(remaining, node.connections.wait()).await;
+        let _ = tokio::time::timeout(remaining, node.connections.wait()).await;
+        let requests_ended = node.requests.len();
+        node.ending.cancel();
+        let finished = tokio::time::timeout(LAST_RESPONSES_TIME, node.connections.wait()).await;
         node.stopped.cancel();
         let requests_cut = match finished {
             Ok(()) => 0,
             Err(_) => node.requests.len(),
         };
-        spdlog::info!("daemon: stopped", kv: { name: = node.settings.name, requests_cut });
+        spdlog::info!("daemon: stopped", kv: {
+            name: = node.settings.name,
+            requests_ended,
+            requests_cut,
+        });
         self.tasks.close();
         drop(self.peer_server);
     }
@@ -439,6 +460,8 @@
         metrics,
         leaving: CancellationToken::new(),
         closing: CancellationToken::new(),
+        ends_at: OnceLock::new(),
+        ending: CancellationToken::new(),
         stopped: CancellationToken::new(),
         connections: TaskTracker::new(),
         requests: TaskTracker::new(),
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -51,8 +51,29 @@
 /// Interval at which a request whose endpoints are silent looks for another one.
 const SILENT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Answers an admitted request.
+/// Answers an admitted request, at the latest when this daemon ends its requests.
 pub async fn answer(node: &Arc<Node>, call: Call, admission: Admission) -> Response<Body> {
+    let id = call.id.clone();
+    tokio::select! {
+        biased;
+        response = respond(node, call, admission) => response,
+        () = node.ending.cancelled() => end(node, &id),
+    }
+}
+
+/// Response to a request that this daemon has no more time for, and that may be at an endpoint.
+fn end(node: &Node, request: &str) -> Response<Body> {
+    let refusal = Refusal::invalid(StatusCode::BAD_GATEWAY, "ended_on_shutdown");
+    let status = refusal.status.as_u16();
+    node.meter.count_outcome(refusal.reason, status);
+    node.journal
+        .line(|| spdlog::info!("relay: ended on shutdown", kv: { request: = request, status }));
+    let mut response = refusal_response(&refusal);
+    response.extensions_mut().insert(hop::Outcome::Lost);
+    response
+}
+
+async fn respond(node: &Arc<Node>, call: Call, admission: Admission) -> Response<Body> {
     if admission.hop.is_none() {
         node.deposit_retry(&admission.service.name);
     }
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -239,9 +239,11 @@
         self.call.content(self.admission.caller())
     }
 
-    /// Time left until the deadline.
+    /// Time left until the deadline, or until this daemon ends its requests.
     pub fn remaining(&self) -> Duration {
-        self.admission.deadline.saturating_sub(self.node.now())
+        let remaining = self.admission.deadline.saturating_sub(self.node.now());
+        let left = self.node.left_to_serve();
+        left.map_or(remaining, |left| remaining.min(left))
     }
 
     /// Allows a request that is bound to a software version to be sent again to the endpoints that have rejected it, if
