Announce a software version before streams begin there

Cause: a daemon takes a service's only stored version for that of every stream while its copy of the endpoints' table is at most drain_within old, or while it hears most of its peers. The row of versions is told by one broadcast and by heartbeats, and streams began at a new version as soon as the row was written. A daemon that was frozen, or cut off, for less than that time had missed the broadcast and still relied on what it knew. A suspended machine's age of the table did not even grow, as the steady clock stands still.

Change: two steps. The row first announces the version (coming); a daemon that knows that takes none for the only one. Streams begin there when all daemons, heard or not, have said that they know, which takes a few messages, or else when no such belief can last any longer: drain_within after the announcement. What daemons know of streams is kept from the announcement on. Peers count as heard for this belief only within drain_within. The age of a table counts by the clock that runs while the machine is suspended.

Builds side by side: the build before ignores the new field of rows and messages, and takes the announced version in by itself; it says nothing of announcements, so streams begin here after the wait. tests/lineage.rs has both directions.

--- a/src/coordination/lineage.rs
+++ b/src/coordination/lineage.rs
@@ -2,7 +2,8 @@
 //!
 //! What two versions write does not fit together, so a stream goes on only at the version that began it. Streams may
 //! begin at a version only after it was stored as one that does, so a stream of which nothing is known belongs to the
-//! stored version if there is only one, and else to an unknown one.
+//! stored version if there is only one, and else to an unknown one. A further version is announced first, and streams begin
+//! there when no daemon takes the former one for the only one any more.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -111,6 +112,17 @@
     /// The versions, in ascending order.
     #[serde(rename = "v")]
     pub versions: Vec<Name>,
+    /// Further versions at which streams will begin, in ascending order.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub coming: Vec<Name>,
+}
+
+impl Admitted {
+    /// Whether streams begin at a version, or will.
+    pub fn names(&self, version: &str) -> bool {
+        let mut all = self.versions.iter().chain(&self.coming);
+        all.any(|known| **known == *version)
+    }
 }
 
 /// Versions at which streams may begin, by service.
@@ -121,6 +133,7 @@
 /// let admitted = |row, names: &[&str]| Admitted {
 ///     row,
 ///     versions: names.iter().map(|name| (*name).into()).collect(),
+///     ..Admitted::default()
 /// };
 /// versions.adopt(&"models".into(), admitted(5, &["v1", "v2"]));
 /// // A message that was delayed changes nothing.
@@ -154,8 +167,9 @@
 
     /// The version of a service that all its streams belong to.
     pub fn only(&self, service: &str) -> Option<Name> {
-        match self.services.get(service)?.versions.as_slice() {
-            [version] => Some(version.clone()),
+        let admitted = self.services.get(service)?;
+        match admitted.versions.as_slice() {
+            [version] if admitted.coming.is_empty() => Some(version.clone()),
             _ => None,
         }
     }
@@ -165,9 +179,10 @@
         self.services.get(service).cloned().unwrap_or_default()
     }
 
-    /// Whether the streams of some service may belong to several versions.
+    /// Whether the streams of some service belong to several versions, or will.
     pub fn are_mixed(&self) -> bool {
-        self.services.values().any(|it| it.versions.len() > 1)
+        let mut all = self.services.values();
+        all.any(|it| it.versions.len() + it.coming.len() > 1)
     }
 
     /// All services and what is stored for them.
--- a/src/serving/feed/mod.rs
+++ b/src/serving/feed/mod.rs
@@ -211,9 +211,10 @@
         is_due
     }
 
-    /// Time for which changes may have been missed; `None` before the first read.
-    pub fn age(&self, now: Duration) -> Option<Duration> {
-        self.state.lock().freshness.age(now)
+    /// Time for which changes may have been missed, at a time of the clock that runs while the machine is suspended; `None`
+    /// before the first read.
+    pub fn age(&self, boot_now: Duration) -> Option<Duration> {
+        self.state.lock().freshness.age(boot_now)
     }
 
     fn defer_until(&self) -> Duration {
@@ -221,23 +222,23 @@
     }
 
     /// Waits for a change of the table after a version, or for proof that there is none, for at most `wait`; `None` if this
-    /// daemon does not read the store, or has had no proof for `max_age`.
+    /// daemon does not read the store, or has had no proof for so long that followers don't rely on its copy.
     pub async fn follow(
         &self,
-        name: &str,
+        node: &Node,
+        table: Table,
         after: u64,
         wait: Duration,
-        max_age: Duration,
-        now: impl Fn() -> Duration,
     ) -> Option<Update> {
+        let (name, max_age) = (table_name(node, table), max_follow_age(node, table));
         let deadline = tokio::time::Instant::now() + wait;
         let known = self.state.lock().freshness;
         loop {
             let changed = self.changed.notified();
             {
                 let state = self.state.lock();
-                let now = now();
-                let age = state.freshness.age(now).filter(|age| *age <= max_age);
+                let age = state.freshness.age(node.boot_now());
+                let age = age.filter(|age| *age <= max_age);
                 let age = age.filter(|_| state.reads_store)?;
                 let changes = state.mirror.changes_after(name, after);
                 let is_over = tokio::time::Instant::now() >= deadline;
@@ -245,7 +246,7 @@
                 if !changes.rows.is_empty() || changes.all || is_proven || is_over {
                     return Some(Update {
                         changes,
-                        deferral: state.defer_until.saturating_sub(now),
+                        deferral: state.defer_until.saturating_sub(node.now()),
                         age,
                     });
                 }
@@ -315,7 +316,7 @@
                 selector.succeeded(&source);
                 feed.note_return(update.deferral, max_age(node, table) * 7 / 10, now);
                 let changes = update.changes;
-                let proven_at = now.saturating_sub(update.age);
+                let proven_at = node.boot_now().saturating_sub(update.age);
                 if feed.note_restore(changes.version, now) {
                     spdlog::warn!("feed: store was restored from a copy", kv: {
                         table:? = table,
@@ -382,7 +383,7 @@
 /// Publishes the ages of both tables, and logs when one becomes older than the time within which its changes must be in
 /// force, or is no longer.
 pub fn report_ages(node: &Node) {
-    let now = node.now();
+    let now = node.boot_now();
     for table in [Table::Operator, Table::Endpoints] {
         let feed = feed(node, table);
         let Some(age) = feed.age(now) else {
@@ -435,14 +436,14 @@
 }
 
 /// Age of a copy of a table from which a follower asks the store itself: what the store then returns is in force in time.
-pub fn max_follow_age(node: &Node, table: Table) -> Duration {
+fn max_follow_age(node: &Node, table: Table) -> Duration {
     let max_age = max_age(node, table);
     max_age - MAX_READ_TIME.min(max_age / 3)
 }
 
 /// Time until the copy of a table is so old that followers no longer rely on it.
 fn time_to_prove(node: &Node, table: Table) -> Duration {
-    let age = feed(node, table).age(node.now()).unwrap_or_default();
+    let age = feed(node, table).age(node.boot_now()).unwrap_or_default();
     max_follow_age(node, table).saturating_sub(age)
 }
 
--- a/src/serving/feed/read.rs
+++ b/src/serving/feed/read.rs
@@ -68,7 +68,7 @@
     after: u64,
     wait: Duration,
 ) -> Result<Update, Error> {
-    let started = node.now();
+    let started = node.boot_now();
     let request = (node.codec.follow)(table_name(node, table), after, wait);
     let page = fetch(node, channel, request, wait + CALL_TIMEOUT).await?;
     if restores(page.version) != restores(after) {
@@ -136,7 +136,7 @@
 }
 
 async fn read_all(node: &Node, table: Table, channel: &Channel) -> Result<Update, Error> {
-    let started = node.now();
+    let started = node.boot_now();
     let page = list(node, channel, table_name(node, table)).await?;
     let changes = Changes {
         rows: page.rows,
@@ -146,12 +146,13 @@
     Ok(from_store(node, changes, started))
 }
 
-/// Changes that the store has returned, with all of those before `proven_at`.
+/// Changes that the store has returned, with all of those before `proven_at` by the clock that runs while the machine is
+/// suspended.
 fn from_store(node: &Node, changes: Changes, proven_at: Duration) -> Update {
     Update {
         changes,
         deferral: Duration::ZERO,
-        age: node.now().saturating_sub(proven_at),
+        age: node.boot_now().saturating_sub(proven_at),
     }
 }
 
--- a/src/serving/lineage/mod.rs
+++ b/src/serving/lineage/mod.rs
@@ -141,9 +141,10 @@
     let view = node.fleet.view.load();
     let mut entries = view.all.values().map(|endpoint| &endpoint.entry);
     let has_other = entries.any(|entry| *entry.service == *service && entry.version != version);
-    let now = node.now();
-    // A daemon that neither reads the store nor hears its peers would not learn of another version.
-    let age = node.endpoint_feed.age(now);
-    let is_current = age.is_some_and(|age| age <= node.settings.drain_within);
-    (!has_other && (is_current || node.peers.hears_most(now))).then_some(version)
+    // A daemon that neither reads the store nor hears its peers would not learn of another version. Streams begin at another one
+    // only after this belief has run out.
+    let longest = node.settings.drain_within;
+    let age = node.endpoint_feed.age(node.boot_now());
+    let is_current = age.is_some_and(|age| age <= longest);
+    (!has_other && (is_current || node.peers.hears_most(longest, node.now()))).then_some(version)
 }
--- a/src/serving/lineage/store.rs
+++ b/src/serving/lineage/store.rs
@@ -136,7 +136,7 @@
         loop {
             let is_listed = node.peers.is_listed();
             if is_listed {
-                admission::update(&node, &channel, &mut plan).await;
+                while admission::update(&node, &channel, &mut plan).await {}
             }
             let are_mixed = node.lineage.versions.lock().are_mixed();
             if is_listed && are_mixed && !has_read && keeper::is_keeper(&node) {
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -23,6 +23,7 @@
 
 use super::settings::Settings;
 use super::{Node, forward};
+use crate::coordination::lineage::Admitted;
 use crate::coordination::reader::{self, Candidate};
 use crate::coordination::window::Window;
 use crate::coordination::{handover, rendezvous};
@@ -425,6 +426,28 @@
         (linked, zone_cores)
     }
 
+    /// Records what a peer knows of the software versions of a service.
+    fn note_versions(&self, name: &str, service: &Name, admitted: &Admitted) {
+        let mut inner = self.inner.lock();
+        let Some(peer) = inner.get_mut(name) else {
+            return;
+        };
+        let versions = &mut peer.state.versions;
+        versions.retain(|(known, it)| known != service || it.row > admitted.row);
+        if !versions.iter().any(|(known, _)| known == service) {
+            versions.push((service.clone(), admitted.clone()));
+        }
+    }
+
+    /// Whether all peers, heard or not, have said that streams of a service begin at a version, or will.
+    pub fn all_note(&self, service: &str, version: &str) -> bool {
+        let inner = self.inner.lock();
+        inner.values().all(|peer| {
+            let mut versions = peer.state.versions.iter();
+            versions.any(|(known, it)| **known == *service && it.names(version))
+        })
+    }
+
     /// Session of the process of a peer that was heard last.
     fn session(&self, name: &str) -> Option<u64> {
         let inner = self.inner.lock();
@@ -476,15 +499,15 @@
         self.zone_addresses(own).len() + 1
     }
 
-    /// Whether this daemon has heard at least half of its peers lately.
-    pub fn hears_most(&self, now: Duration) -> bool {
-        let (heard, all) = self.count_heard(now);
+    /// Whether this daemon has heard at least half of its peers within a time.
+    pub fn hears_most(&self, within: Duration, now: Duration) -> bool {
+        let (heard, all) = self.count_heard(within, now);
         heard * 2 >= all.max(1)
     }
 
     /// Whether there are peers that this daemon has not heard lately.
     pub fn misses_some(&self, now: Duration) -> bool {
-        let (heard, all) = self.count_heard(now);
+        let (heard, all) = self.count_heard(self.heartbeat_silence(), now);
         heard < all
     }
 
@@ -493,13 +516,10 @@
         PLACER_SILENCE.max(HEARTBEAT_INTERVAL * self.interval_factor() * 5 / 2)
     }
 
-    /// Number of peers that were heard lately, and of all peers.
-    fn count_heard(&self, now: Duration) -> (usize, usize) {
-        let silence = self.heartbeat_silence();
+    /// Number of peers that were heard within a time, and of all peers.
+    fn count_heard(&self, within: Duration, now: Duration) -> (usize, usize) {
         let inner = self.inner.lock();
-        let heard = inner
-            .values()
-            .filter(|peer| peer.last_heard + silence > now);
+        let heard = inner.values().filter(|peer| peer.last_heard + within > now);
         (heard.count(), inner.len())
     }
 
--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -110,7 +110,12 @@
         Body::Crashed(occurrence) => quarantine::record(node, occurrence),
         Body::Sound(parts) => quarantine::clear(node, &parts),
         Body::Versions(service, admitted) => {
-            lineage::admission::adopt_one(node, &service, admitted);
+            node.peers
+                .note_versions(&digest.daemon, &service, &admitted);
+            if lineage::admission::adopt_one(node, &service, admitted.clone()) {
+                // Tells the sender that it is known here.
+                send(node, Body::Versions(service, admitted), from);
+            }
         }
         Body::Begun(beginnings) => node.lineage.streams.lock().learn(&beginnings, now),
         Body::Stated(statements) => statement::adopt(node, &statements, now),
--- a/src/serving/peers/source.rs
+++ b/src/serving/peers/source.rs
@@ -117,7 +117,7 @@
 ) -> Result<Update, feed::Error> {
     let unknown = || feed::Error::UnknownReader(reader.clone());
     let address = node.peers.call_address(reader).ok_or_else(unknown)?;
-    let started = node.now();
+    let started = node.boot_now();
     let (params, timeout) = ((table, after), FOLLOW_WAIT + FOLLOW_TIMEOUT);
     let call = node
         .calls
@@ -125,7 +125,7 @@
     let response = call.await.map_err(feed::Error::Peer)?;
     // The response may have been on its way for long, or have waited while this process did not run.
     let transit = response.held_millis.map_or(Duration::ZERO, |held| {
-        let taken = node.now().saturating_sub(started);
+        let taken = node.boot_now().saturating_sub(started);
         taken.saturating_sub(Duration::from_millis(held))
     });
     let name: Name = feed::table_name(node, table).into();
@@ -148,12 +148,9 @@
 }
 
 async fn serve_follow(node: &Node, table: Table, after: u64) -> Option<FollowResponse> {
-    let started = node.now();
-    let name = feed::table_name(node, table);
-    let max_age = feed::max_follow_age(node, table);
+    let started = node.boot_now();
     let feed = feed::feed(node, table);
-    let update = feed.follow(name, after, FOLLOW_WAIT, max_age, || node.now());
-    let update = update.await?;
+    let update = feed.follow(node, table, after, FOLLOW_WAIT).await?;
     let changes = update.changes;
     let rows = changes.rows.into_iter().map(|row| {
         let value = row.value.map(|value| STANDARD.encode(value));
@@ -164,7 +161,7 @@
         all: changes.all,
         deferral_millis: update.deferral.as_millis() as u64,
         age_millis: update.age.as_millis() as u64,
-        held_millis: Some(node.now().saturating_sub(started).as_millis() as u64),
+        held_millis: Some(node.boot_now().saturating_sub(started).as_millis() as u64),
         rows: rows.collect(),
     })
 }
--- a/tests/lineage.rs
+++ b/tests/lineage.rs
@@ -51,6 +51,53 @@
     assert!(streams.take_new(seconds(1000), seconds(300)).is_empty());
 }
 
+/// Guards against a daemon of this build or of the one before that cannot read what the other one says of versions.
+#[test]
+fn announcements_are_read_by_the_build_before_and_its_messages_here() {
+    /// What the build before reads.
+    #[derive(Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+    struct Former {
+        w: u64,
+        v: Vec<String>,
+    }
+    let announced = Admitted {
+        row: 7,
+        versions: vec!["v1".into()],
+        coming: vec!["v2".into()],
+    };
+    let text = serde_json::to_string(&announced).unwrap();
+    assert_eq!(serde_json::from_str::<Admitted>(&text).unwrap(), announced);
+    let former = Former {
+        w: 7,
+        v: vec!["v1".into()],
+    };
+    assert_eq!(serde_json::from_str::<Former>(&text).unwrap(), former);
+    let text = serde_json::to_string(&former).unwrap();
+    let admitted: Admitted = serde_json::from_str(&text).unwrap();
+    assert!(admitted.names("v1") && !admitted.names("v2"));
+    assert!(admitted.coming.is_empty());
+}
+
+/// Guards against taking a version for the only one when another one was announced.
+#[test]
+fn version_is_not_the_only_one_once_another_one_is_announced() {
+    let mut versions = Versions::default();
+    let mut admitted = Admitted {
+        row: 1,
+        versions: vec!["v1".into()],
+        ..Admitted::default()
+    };
+    versions.adopt(&"models".into(), admitted.clone());
+    assert_eq!(versions.only("models").as_deref(), Some("v1"));
+    assert!(!versions.are_mixed());
+    admitted.row = 2;
+    admitted.coming.push("v2".into());
+    versions.adopt(&"models".into(), admitted);
+    assert_eq!(versions.only("models"), None);
+    assert!(versions.are_mixed());
+    assert!(!versions.admits("models", "v2"));
+}
+
 quickcheck! {
     /// Messages about a service arrive in any order and more than once; the newest row is known.
     fn order_of_messages_does_not_matter(rows: Vec<u8>) -> bool {
@@ -58,7 +105,8 @@
         let mut versions = Versions::default();
         for row in &rows {
             let row = u64::from(*row) + 1;
-            let admitted = Admitted { row, versions: vec![format!("v{row}").into()] };
+            let versions = vec![format!("v{row}").into()];
+            let admitted = Admitted { row, versions, ..Admitted::default() };
             versions.adopt(&service, admitted.clone());
             versions.adopt(&service, admitted);
         }
