Count partial events among the memory that large bodies share

Cause: a body is read within memory that all bodies share, but each stream buffered up to 1 MB of an event of its own besides. And a body counted by its length, while its buffer has up to twice that.

Streams through other daemons take the same way.

--- a/src/serving/events.rs
+++ b/src/serving/events.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::transport::body::{Memory, Taken};
+
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -12,15 +14,24 @@
     last: Option<u64>,
     /// Whether the next event is the first one of a continuation, so that it must have the identifier after the last one.
     is_joining: bool,
+    taken: Taken,
 }
 
 impl Events {
     /// Starts after the event `last`, or at the start of a stream.
     pub fn after(last: Option<u64>) -> Self {
         Self {
-            buffer: BytesMut::new(),
             last,
             is_joining: last.is_some(),
+            ..Self::default()
+        }
+    }
+
+    /// Buffers partial events in memory that others share.
+    pub fn within(self, memory: &Memory) -> Self {
+        Self {
+            taken: memory.buffer(),
+            ..self
         }
     }
 
@@ -49,7 +60,7 @@
     ///
     /// # Errors
     /// [`Gap`] when identifiers are not consecutive, a continuation begins with something else than the next event, or an
-    /// event is too long; then none of the bytes' events counts as the last one.
+    /// event is too long, or for the memory that others leave; then none of the bytes' events counts as the last one.
     ///
     /// ```
     /// use persimmoncroft::serving::events::Events;
@@ -66,12 +77,14 @@
             .windows(2)
             .rposition(|pair| pair == b"\n\n");
         let Some(boundary) = boundary else {
-            return match self.buffer.len() > MAX_EVENT_BYTES {
-                true => Err(Gap),
-                false => Ok(Bytes::new()),
+            let has_room = self.taken.resize(self.buffer.len(), self.buffer.capacity());
+            return match has_room && self.buffer.len() <= MAX_EVENT_BYTES {
+                true => Ok(Bytes::new()),
+                false => Err(Gap),
             };
         };
         let whole = self.buffer.split_to(search_start + boundary + 2).freeze();
+        self.taken.resize(0, 0);
         let mut last = self.last;
         for event in split_events(&whole) {
             let id = event_id(event);
--- a/src/serving/forward/stream.rs
+++ b/src/serving/forward/stream.rs
@@ -35,7 +35,7 @@
     exchange: Exchange,
 ) -> Result<Response<Body>, Box<Context>> {
     let mut forwarder = Forwarder {
-        events: Events::after(ctx.call.last_event),
+        events: Events::after(ctx.call.last_event).within(&ctx.node.memory),
         ctx,
         peer: exchange.peer,
         connection: Some(exchange.connection),
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -71,8 +71,8 @@
 /// Timeout of a write to the store.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Memory for large bodies of endpoints' responses, all together.
-const BODY_MEMORY_BYTES: usize = 48 << 20;
+/// Memory for large bodies and events of endpoints, all together; the smallest instances have 160 MB.
+const BODY_MEMORY_BYTES: usize = 24 << 20;
 
 /// Interval at which idle connections are pruned and dropped log lines are reported.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/serving/stream.rs
+++ b/src/serving/stream.rs
@@ -101,7 +101,7 @@
     let parts = forwarded_parts(exchange.parts.clone());
     let mut forwarder = Forwarder {
         format: Format::of(&exchange.parts),
-        events: Events::after(ctx.call.last_event),
+        events: Events::after(ctx.call.last_event).within(&ctx.node.memory),
         silent_since: ctx.node.now(),
         ctx,
         exchange: Some(Box::new(exchange)),
