--- a/tests/lineage.rs
+++ b/tests/lineage.rs
@@ -105,8 +105,11 @@
         let mut versions = Versions::default();
         for row in &rows {
             let row = u64::from(*row) + 1;
-            let versions = vec![format!("v{row}").into()];
-            let admitted = Admitted { row, versions, ..Admitted::default() };
+            let admitted = Admitted {
+                row,
+                versions: vec![format!("v{row}").into()],
+                ..Admitted::default()
+            };
             versions.adopt(&service, admitted.clone());
             versions.adopt(&service, admitted);
         }
