Hand requests to daemons that have not sent a heartbeat yet

A daemon is listed before its first heartbeat, and its first message may be another one; until the heartbeat it counted as one of the build before with no configuration at all, which is not asked: in the log the links are lost 30 ms after the start, and nothing is handed over.

Change: only a daemon whose process has sent a heartbeat, and does not say in it that it catches up, is judged by the versions there.

--- a/src/serving/forward/mod.rs
+++ b/src/serving/forward/mod.rs
@@ -73,10 +73,9 @@
     pub candidate: handover::Candidate,
     /// Address of its listener for other daemons' requests.
     pub address: SocketAddr,
-    /// Versions up to which it has read, as it last said.
-    pub versions: Versions,
-    /// Whether it gets what it lacks before it decides on a request.
-    pub catches_up: bool,
+    /// Versions up to which it has read, as it last said; `None` if it gets what it lacks before it decides on a request, or has not
+    /// sent a heartbeat yet.
+    pub versions: Option<Versions>,
 }
 
 /// A response that another daemon has got for a request.
@@ -166,7 +165,8 @@
     peers.retain(|peer| {
         let name = &peer.candidate.name;
         // A daemon that may decide by something older would undo what is in force here.
-        let may_decide = peer.catches_up || peer.versions.covers(&in_force);
+        let is_behind = |versions: Versions| !versions.covers(&in_force);
+        let may_decide = !peer.versions.is_some_and(is_behind);
         may_decide && !ctx.asked_peers.contains(name) && !is_paused(name)
     });
     let candidates: Vec<_> = peers.iter().map(|peer| peer.candidate.clone()).collect();
--- a/src/serving/peers/mod.rs
+++ b/src/serving/peers/mod.rs
@@ -63,7 +63,7 @@
 #[derive(Debug)]
 struct Peer {
     registration: Registration,
-    /// Whether the process that was heard last has stated the registration itself.
+    /// Whether the process that was heard last has stated the registration itself, in a heartbeat.
     has_stated: bool,
     session: u64,
     /// Sequence numbers of the messages received.
@@ -415,12 +415,11 @@
                     cores: registration.cores,
                 },
                 address,
-                versions: Versions {
+                versions: (peer.has_stated && !catches_up).then_some(Versions {
                     catalog: peer.state.catalog,
                     zones: peer.state.operator,
                     endpoints: peer.state.endpoints,
-                },
-                catches_up: *catches_up,
+                }),
             });
         }
         (linked, zone_cores)
