Name the peer again in the log of newer rows, and look at versions only where they decide

The line "peers: a peer has newer rows" had lost the peer, an input of that belief. The versions in a response to a handed-over request were compared with the tables for each response, and are used only when the other daemon did not take the request. A heartbeat takes the configuration's version from Fleet::catalog_version. A comment said that any proof is welcome where too old ones are refused. handover, hop_versions and freshness passed (15, 6, 9 tests).

--- a/src/serving/feed/read.rs
+++ b/src/serving/feed/read.rs
@@ -42,7 +42,7 @@
         (Source::Peer(reader), after) => {
             let follow = source::follow(node, reader, table, after.unwrap_or_default());
             let update = match time_to_prove(node, table) {
-                // Nothing is gained by another source any more, so any proof is welcome.
+                // The copy here is too old already; the reader's may not be.
                 Duration::ZERO => follow.await?,
                 left => match timeout(left, follow).await {
                     Ok(update) => update?,
--- a/src/serving/forward/mod.rs
+++ b/src/serving/forward/mod.rs
@@ -275,12 +275,14 @@
     let Some(outcome) = hop::take_outcome(&mut parts.headers) else {
         return (Sent::Broken, "foreign");
     };
-    let newer = versions.filter(|versions| !node.fleet.covers(versions, node.now()));
     let sent = match outcome {
         Outcome::Busy => {
             ctx.runs -= 1;
             ctx.delivered -= 1;
-            match newer.filter(|newer| newer.catalog > in_force.catalog) {
+            let is_newer = |versions: &Versions| {
+                versions.catalog > in_force.catalog && !node.fleet.covers(versions, node.now())
+            };
+            match versions.filter(is_newer) {
                 Some(newer) if catchup::catch_up(&node, name, &newer).await => Sent::Behind,
                 _ => Sent::Untaken,
             }
--- a/src/serving/peers/receiver.rs
+++ b/src/serving/peers/receiver.rs
@@ -142,8 +142,15 @@
     }
     let (mut lacks_zones, mut lacks_endpoints) = (feed_stale, feed_stale);
     if !feed_stale {
-        lacks_zones = is_late(node, Table::Operator, (operator, state.operator), now);
-        lacks_endpoints = is_late(node, Table::Endpoints, (endpoints, state.endpoints), now);
+        let peer = registration.gossip;
+        lacks_zones = is_late(node, peer, Table::Operator, (operator, state.operator), now);
+        lacks_endpoints = is_late(
+            node,
+            peer,
+            Table::Endpoints,
+            (endpoints, state.endpoints),
+            now,
+        );
     }
     if lacks_zones {
         node.fleet.apply_peer_report(&[], &state.out, now);
@@ -160,7 +167,13 @@
 
 /// Whether this daemon's copy of a table has been behind those of its peers for so long that the store may not answer; has the
 /// table read again then.
-fn is_late(node: &Node, table: Table, (own, newer): (u64, u64), now: Duration) -> bool {
+fn is_late(
+    node: &Node,
+    peer: SocketAddr,
+    table: Table,
+    (own, newer): (u64, u64),
+    now: Duration,
+) -> bool {
     let (lag, feed) = match table {
         Table::Operator => (&node.peers.operator_lag, &node.operator_feed),
         Table::Endpoints => (&node.peers.endpoints_lag, &node.endpoint_feed),
@@ -172,6 +185,7 @@
         node.journal.line(|| {
             spdlog::info!("peers: a peer has newer rows", kv: {
                 table:? = table,
+                peer: = peer,
                 own,
                 newer,
             });
--- a/src/serving/peers/sender.rs
+++ b/src/serving/peers/sender.rs
@@ -96,7 +96,6 @@
 fn current_state(node: &Node) -> State {
     let (gone, out) = node.fleet.peer_report();
     let (operator, endpoints) = node.fleet.row_versions();
-    let catalog = node.fleet.catalog.load();
     let view = node.fleet.view.load();
     let versions = {
         let versions = node.lineage.versions.lock();
@@ -116,7 +115,7 @@
         is_unreachable.then_some(id)
     });
     State {
-        catalog: catalog.as_ref().map_or(0, |catalog| catalog.version),
+        catalog: node.fleet.catalog_version(),
         operator,
         endpoints,
         gone,
