Ask a newer daemon again also when another request has caught up first

Callers at a daemon that hands its requests over got 503 (no daemon to take them) when several of them met a newer configuration at once.

Cause: a response "busy" with newer versions counted as one of a daemon that is ahead only while those versions were not in force here yet. The first such request catches up; responses to the others that arrive after it found the versions in force, were taken for those of a daemon that takes no requests, and paused it for 0.5 s. With two daemons nobody was left to ask.

Change: what counts is that the versions are newer than those the request was sent with. catch_up returns at once where they are in force by now, and the request is sent to the same daemon with them. A configuration that is as new as the one that was sent still pauses, so each request is sent again at most once a change.

--- a/src/serving/forward/mod.rs
+++ b/src/serving/forward/mod.rs
@@ -279,9 +279,8 @@
         Outcome::Busy => {
             ctx.runs -= 1;
             ctx.delivered -= 1;
-            let is_newer = |versions: &Versions| {
-                versions.catalog > in_force.catalog && !node.fleet.covers(versions, node.now())
-            };
+            // Another request may have caught up since this one was sent.
+            let is_newer = |versions: &Versions| versions.catalog > in_force.catalog;
             match versions.filter(is_newer) {
                 Some(newer) if catchup::catch_up(&node, name, &newer).await => Sent::Behind,
                 _ => Sent::Untaken,
