Send orders on connections that carried nothing before

Cause: responses to orders name no request. On a connection that had carried a stream, an engine may write the stream's response once more where the next one is due. send_order took its status 200 for that of the order to unload an adapter, whose true response, 202, says that requests still use it, and the next adapter was ordered at once.

Change: an order goes on a connection of its own, on which no other response can arrive; it is kept for callers' requests afterwards, as before. Reports name no request either: a response that names one, bears a signature or can't be parsed is none, is logged, and the connection is dropped, since the report may still arrive there. A copy of an earlier report can't be told from the next one, so reports are only asked for on new connections and on those whose last response named its request; a report that was read from a copy left the true one for the next caller, who got 502.

--- a/src/serving/placer/order.rs
+++ b/src/serving/placer/order.rs
@@ -49,24 +49,39 @@
     let entry = &endpoint.entry;
     node.meter.reports.inc();
     let request = (node.codec.ask_report)(entry);
-    let mut connection = connect(node, id, entry.address).await?;
+    let mut connection = match node.pool.take_for_unnamed(id) {
+        Some(connection) => connection,
+        None => connect(node, entry.address).await?,
+    };
+    let is_reused = connection.is_used();
     let response = connection
         .fetch_within(request, ORDER_TIMEOUT, &node.memory)
         .await
         .ok()?;
     let (parts, body) = response.into_parts();
     let head = (node.codec.head)(&parts);
+    let is_foreign = head.id.is_some() || head.signed;
+    let report = match is_foreign {
+        true => None,
+        false => (node.codec.report)(&body),
+    };
+    let Some(report) = report else {
+        // The report may still arrive on this connection.
+        spdlog::info!("placer: response is no report", kv: {
+            engine: = id,
+            status = parts.status.as_u16(),
+            id: = head.id.as_deref().unwrap_or("-"),
+            reused = is_reused,
+        });
+        return None;
+    };
     statement::observe(node, endpoint, &head);
-    let report = (node.codec.report)(&body);
     let reusable = keep_alive(parts.version, &parts.headers);
     node.pool_connection(id, connection, reusable);
-    report
+    Some(report)
 }
 
-async fn connect(node: &Node, id: &Name, address: SocketAddr) -> Option<Connection> {
-    if let Some(connection) = node.pool.take(id) {
-        return Some(connection);
-    }
+async fn connect(node: &Node, address: SocketAddr) -> Option<Connection> {
     node.meter.connects.inc();
     Connection::connect(address, ORDER_TIMEOUT).await.ok()
 }
@@ -101,7 +116,8 @@
         {
             return None;
         }
-        let Some(mut connection) = connect(node, id, entry.address).await else {
+        // Responses to orders name no request: on a connection that was used, one could be a late copy of another response.
+        let Some(mut connection) = connect(node, entry.address).await else {
             sleep(RESEND_DELAY).await;
             continue;
         };
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -104,6 +104,8 @@
     task: AbortHandle,
     /// Whether a request was sent.
     is_used: bool,
+    /// Whether the response to the last request names that request.
+    is_named: bool,
     allowance: Allowance,
 }
 
@@ -145,6 +147,7 @@
             sender,
             task: task.abort_handle(),
             is_used: false,
+            is_named: false,
             allowance,
         })
     }
@@ -159,7 +162,12 @@
         self.is_used
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Whether what may still arrive of earlier responses can be told from the next one, which names no request.
+    fn can_tell_copies(&self) -> bool {
+        !self.is_used || self.is_named
+    }
+
+    /// Sends a request that its response names, and waits for the head of the response.
     ///
     /// # Errors
     /// [`Error::Unsent`] if nothing was written, [`Error::Broken`] otherwise.
@@ -170,7 +178,8 @@
         self.start(request).await
     }
 
-    /// Sends a request; the returned future, which does not borrow the connection, waits for the head of the response.
+    /// As [`send`](Self::send); the returned future, which does not borrow the connection, waits for the head of the
+    /// response.
     ///
     /// # Errors
     /// As those of [`send`](Self::send).
@@ -179,6 +188,7 @@
         request: Request<Full<Bytes>>,
     ) -> impl Future<Output = Result<Response<Incoming>, Error>> + Send + use<> {
         self.is_used = true;
+        self.is_named = true;
         let allowance = self.allowance.clone();
         allowance.set(MAX_BYTES_TO_HEAD);
         let sent = self.sender.try_send_request(request);
@@ -192,7 +202,8 @@
         }
     }
 
-    /// Sends a request and reads the whole response, whose body may take all the memory that one body may.
+    /// Sends a request that its response need not name, and reads the whole response, whose body may take all the memory
+    /// that one body may.
     ///
     /// # Errors
     /// Any [`Error`] of sending and reading.
@@ -216,7 +227,9 @@
         memory: &Memory,
     ) -> Result<Response<Bytes>, Error> {
         let exchange = async {
-            let response = self.send(request).await?;
+            let response = self.start(request);
+            self.is_named = false;
+            let response = response.await?;
             let (parts, body) = response.into_parts();
             let bytes = read_whole(body, memory).await.ok_or(Error::Body)?;
             Ok(Response::from_parts(parts, bytes))
@@ -278,15 +291,22 @@
 impl Pool {
     /// Takes the most recently used connection that is still usable.
     pub fn take(&self, endpoint: &str) -> Option<Connection> {
+        self.take_if(endpoint, |_| true)
+    }
+
+    /// Takes the most recently used connection that is still usable for a request that its response does not name: none on
+    /// which a copy of such a response could still arrive.
+    pub fn take_for_unnamed(&self, endpoint: &str) -> Option<Connection> {
+        self.take_if(endpoint, Connection::can_tell_copies)
+    }
+
+    fn take_if(&self, endpoint: &str, suits: impl Fn(&Connection) -> bool) -> Option<Connection> {
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(endpoint)?;
         let now = Instant::now();
-        while let Some(last) = connections.pop() {
-            if last.expires_at > now && last.connection.is_ready() {
-                return Some(last.connection);
-            }
-        }
-        None
+        connections.retain(|idle| idle.expires_at > now && idle.connection.is_ready());
+        let last = connections.iter().rposition(|it| suits(&it.connection))?;
+        Some(connections.remove(last).connection)
     }
 
     /// Whether there is an idle connection that is still usable.
