Bound the memory of request bodies

Cause: read_body read each body whole before anything was decided, and kept it until its response had ended, with a bound for each (4 MB) and none for all.

Change: bodies above 64 KiB share 32 MiB, from their arrival to the end of their responses. A body that states its size is refused before it is read if it doesn't fit, with 503 and Retry-After 1 s, so that callers don't send it in vain; it counts as not run. Bodies of the usual size are not concerned. The same holds for requests that other daemons hand over; the sender then asks another daemon. Refused bodies are logged.

--- a/src/serving/accept.rs
+++ b/src/serving/accept.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -22,7 +22,7 @@
 use super::admit::{self, Hop, Refusal};
 use super::forward;
 use super::relay::{self, Body};
-use crate::transport::exchange;
+use crate::transport::{body, exchange};
 
 /// Timeout of an idle connection; callers close idle connections sooner.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -30,6 +30,9 @@
 /// Timeout of reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after which a caller may repeat a request whose body did not fit the memory that others left.
+const MEMORY_PAUSE: Duration = Duration::from_secs(1);
+
 /// Pause after a failed accept, such as for lack of file descriptors.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -174,7 +177,7 @@
 /// Reads the body of a request.
 ///
 /// # Errors
-/// A [`Refusal`] if it is too large, too slow or breaks off.
+/// A [`Refusal`] if it is too large, too slow or breaks off, or if other requests' bodies leave too little memory.
 pub async fn read_body(
     node: &Node,
     request: Request<Incoming>,
@@ -184,18 +187,26 @@
         .as_ref()
         .map_or(DEFAULT_MAX_BODY_BYTES, |c| c.bounds.body_bytes);
     let (parts, body) = request.into_parts();
-    let collected = Limited::new(body, max_bytes).collect();
-    let Ok(result) = tokio::time::timeout(BODY_TIMEOUT, collected).await else {
-        return Err(Refusal::invalid(StatusCode::REQUEST_TIMEOUT, "slow_body"));
-    };
-    match result {
-        Ok(body) => Ok((parts, body.to_bytes())),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(Refusal::invalid(status, "body_too_large"))
+    let read = body::read_kept(body, max_bytes, &node.request_memory);
+    let refusal = match tokio::time::timeout(BODY_TIMEOUT, read).await {
+        Ok(Ok(body)) => return Ok((parts, body)),
+        Ok(Err(body::Error::TooLarge)) => {
+            Refusal::invalid(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large")
         }
-        Err(_) => Err(Refusal::invalid(StatusCode::BAD_REQUEST, "broken_body")),
-    }
+        Ok(Err(body::Error::NoMemory)) => Refusal::busy("body_memory", MEMORY_PAUSE),
+        Ok(Err(body::Error::Broken)) => Refusal::invalid(StatusCode::BAD_REQUEST, "broken_body"),
+        Err(_) => Refusal::invalid(StatusCode::REQUEST_TIMEOUT, "slow_body"),
+    };
+    node.journal.line(|| {
+        let length = parts.headers.get(header::CONTENT_LENGTH);
+        let length = length.and_then(|length| length.to_str().ok());
+        spdlog::info!("accept: body refused", kv: {
+            reason = refusal.reason,
+            status = refusal.status.as_u16(),
+            length: = length.unwrap_or("-"),
+        });
+    });
+    Err(refusal)
 }
 
 /// Admits a request and answers it; `hop` is set if another daemon has handed it over.
--- a/src/serving/forward/receive.rs
+++ b/src/serving/forward/receive.rs
@@ -75,6 +75,10 @@
     };
     let mut response = match body {
         Ok((parts, body)) => accept::dispatch(node, parts, body, arrived, Some(hop)).await,
+        // Another daemon may have the memory.
+        Err(refusal) if refusal.retry_after.is_some() => {
+            return refuse(node, &refusal, Outcome::Busy);
+        }
         Err(refusal) => refuse(node, &refusal, Outcome::NotRun),
     };
     let outcome = response.extensions().get::<Outcome>();
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -74,6 +74,9 @@
 /// Memory for large bodies and events of endpoints, all together; the smallest instances have 160 MB.
 const BODY_MEMORY_BYTES: usize = 24 << 20;
 
+/// Memory for large bodies of requests, all together, from their arrival to the end of their responses.
+const REQUEST_MEMORY_BYTES: usize = 32 << 20;
+
 /// Interval at which idle connections are pruned and dropped log lines are reported.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -133,6 +136,8 @@
     pub calls: peer::Pool,
     /// Memory for large bodies of endpoints' responses.
     pub memory: Memory,
+    /// Memory for large bodies of requests.
+    pub request_memory: Memory,
     /// Idle connections to endpoints.
     pub pool: Pool,
     /// This daemon's shares of the workspaces' rate limits.
@@ -440,6 +445,7 @@
         peer_address,
         calls: peer::Pool::default(),
         memory: Memory::new(BODY_MEMORY_BYTES),
+        request_memory: Memory::new(REQUEST_MEMORY_BYTES),
         pool: Pool::default(),
         limits: limits::Limits::default(),
         retries: Mutex::default(),
--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -1,9 +1,10 @@
-//! Response bodies that are read as a whole, within a bounded amount of memory.
+//! Bodies that are read as a whole, within a bounded amount of memory.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 
@@ -99,6 +100,99 @@
     }
 }
 
+/// Error of reading a body for as long as it is kept.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// the body is too large
+    TooLarge,
+    /// other bodies leave too little memory
+    NoMemory,
+    /// the body broke off
+    Broken,
+}
+
+impl std::error::Error for Error {}
+
+/// Bytes with the memory that they take.
+#[derive(Debug)]
+struct Kept {
+    bytes: Bytes,
+    _taken: Taken,
+}
+
+impl AsRef<[u8]> for Kept {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads a whole body of `max_bytes` at most, which takes its memory until the last copy of it is dropped. A body that states
+/// its size fails before it is read if it can't be kept.
+///
+/// # Errors
+/// Any [`Error`].
+///
+/// ```
+/// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+/// use http_body_util::Full;
+/// use persimmoncroft::transport::body::{Error, Memory, read_kept};
+/// let memory = Memory::new(100 << 10);
+/// let body = || Full::new(bytes::Bytes::from(vec![0; 150 << 10]));
+/// let first = read_kept(body(), 200 << 10, &memory).await.unwrap();
+/// assert_eq!(read_kept(body(), 200 << 10, &memory).await, Err(Error::NoMemory));
+/// drop(first);
+/// assert!(read_kept(body(), 200 << 10, &memory).await.is_ok());
+/// assert_eq!(read_kept(body(), 100 << 10, &memory).await, Err(Error::TooLarge));
+/// # });
+/// ```
+pub async fn read_kept<B>(mut body: B, max_bytes: usize, memory: &Memory) -> Result<Bytes, Error>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if stated > max_bytes {
+        return Err(Error::TooLarge);
+    }
+    let mut taken = memory.buffer();
+    if !taken.resize(stated, stated) {
+        return Err(Error::NoMemory);
+    }
+    let mut whole = BytesMut::new();
+    let mut first = Bytes::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Error::Broken)?.into_data() else {
+            continue;
+        };
+        let length = first.len() + whole.len() + data.len();
+        if length > max_bytes {
+            return Err(Error::TooLarge);
+        }
+        if first.is_empty() && whole.is_empty() {
+            first = data;
+        } else {
+            if !first.is_empty() {
+                whole.reserve(stated.max(length));
+                whole.extend_from_slice(&std::mem::take(&mut first));
+            }
+            whole.extend_from_slice(&data);
+        }
+        if !taken.resize(stated.max(length), whole.capacity()) {
+            return Err(Error::NoMemory);
+        }
+    }
+    let bytes = match whole.is_empty() {
+        true => first,
+        false => whole.freeze(),
+    };
+    Ok(match taken.bytes {
+        0 => bytes,
+        _ => Bytes::from_owner(Kept {
+            bytes,
+            _taken: taken,
+        }),
+    })
+}
+
 /// Reads a whole body; `None` if it fails, is too large, or does not fit the memory that other bodies leave.
 ///
 /// ```
