Don't write probes in the transaction that removes them

After a restore of the store, the probes of a hold are written again. If the hold has other parts by then, the rows under its former key are removed in the same transaction, which would have written and removed one row; found by reading, not seen in a run.

--- a/src/serving/quarantine/store.rs
+++ b/src/serving/quarantine/store.rs
@@ -95,13 +95,16 @@
             .remove
             .extend(replaces.iter().flat_map(|key| rows(*key)));
     }
-    for (key, count) in probes.iter().filter(|(key, _)| !released.contains(key)) {
-        change
-            .write
-            .extend((1..=*count).map(|number| probe_row(*key, number)));
-    }
     let removed = released.iter().flat_map(|key| rows(*key));
     change.remove.extend(removed);
+    let probed = probes.iter().flat_map(|(key, count)| {
+        let numbers = 1..=*count;
+        numbers.map(|number| probe_row(*key, number))
+    });
+    let is_removed =
+        |(_, key, _): &(Name, Name, Bytes)| change.remove.iter().any(|(_, it)| it == key);
+    let probed: Vec<_> = probed.filter(|row| !is_removed(row)).collect();
+    change.write.extend(probed);
     let written = commit::commit(node, channel, &change).await;
     if let Err(error) = &written {
         node.journal
