--- a/src/serving/placer/order.rs
+++ b/src/serving/placer/order.rs
@@ -63,7 +63,10 @@
     let is_foreign = head.id.is_some() || head.signed;
     let report = match is_foreign {
         true => None,
-        false => (node.codec.report)(&body),
+        false => {
+            statement::observe(node, endpoint, &head);
+            (node.codec.report)(&body)
+        }
     };
     let Some(report) = report else {
         // The report may still arrive on this connection.
@@ -75,7 +78,6 @@
         });
         return None;
     };
-    statement::observe(node, endpoint, &head);
     let reusable = keep_alive(parts.version, &parts.headers);
     node.pool_connection(id, connection, reusable);
     Some(report)
