Collect bodies in one loop, and don't walk all idle connections to take one

No change of behaviour but one. read_kept had a copy of the loop of read_whole; both call collect. Pool::take looked at all idle connections of an endpoint for each request; it looks at the last one again. Where a hold is stored was taken over in three places with the same condition; Held::take_stored is the one. The exception: a write that is acknowledged after another daemon's of a later era no longer hides that one, which had the hold written once more.

--- a/src/coordination/held.rs
+++ b/src/coordination/held.rs
@@ -101,11 +101,11 @@
         self.is_confirmed |= other.is_confirmed;
     }
 
-    /// Takes over where another hold of the same parts is stored, unless the store has been restored since.
-    pub(super) fn take_stored(&mut self, other: &Held) {
-        if other.stored_as.is_some() && other.stored_era >= self.stored_era {
-            self.stored_as = other.stored_as;
-            self.stored_era = other.stored_era;
+    /// Takes over under which key, if any, and in which era of the store it was stored, unless it was in a later one.
+    pub(super) fn take_stored(&mut self, stored_as: Option<u64>, era: u64) {
+        if stored_as.is_some() && era >= self.stored_era {
+            self.stored_as = stored_as;
+            self.stored_era = era;
         }
     }
 
--- a/src/coordination/quarantine/mod.rs
+++ b/src/coordination/quarantine/mod.rs
@@ -505,7 +505,7 @@
         let known = self.holds.iter_mut().find(|it| it.parts == hold.parts);
         if let Some(known) = known {
             known.take_probes(&hold);
-            known.take_stored(&hold);
+            known.take_stored(hold.stored_as, hold.stored_era);
             let announced = hold.announced.iter();
             let news = announced.filter(|it| known.announce(**it));
             if news.count() > 0 && known.extend(&hold) {
--- a/src/coordination/quarantine/stored.rs
+++ b/src/coordination/quarantine/stored.rs
@@ -55,8 +55,7 @@
     pub fn stored(&mut self, stored: &Hold) {
         let holds = self.holds.iter_mut();
         for hold in holds.filter(|hold| Some(hold.key()) == stored.stored_as) {
-            hold.stored_as = stored.stored_as;
-            hold.stored_era = stored.stored_era;
+            hold.take_stored(stored.stored_as, stored.stored_era);
         }
     }
 
@@ -144,11 +143,7 @@
         }
         let known = self.holds.iter_mut().find(|it| it.parts == hold.parts);
         match known {
-            Some(known) if hold.stored_era >= known.stored_era => {
-                known.stored_as = hold.stored_as;
-                known.stored_era = hold.stored_era;
-            }
-            Some(_) => {}
+            Some(known) => known.take_stored(hold.stored_as, hold.stored_era),
             None => drop(self.adopt(hold, now)),
         }
     }
--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -145,7 +145,7 @@
 /// assert_eq!(read_kept(body(), 100 << 10, &memory).await, Err(Error::TooLarge));
 /// # });
 /// ```
-pub async fn read_kept<B>(mut body: B, max_bytes: usize, memory: &Memory) -> Result<Bytes, Error>
+pub async fn read_kept<B>(body: B, max_bytes: usize, memory: &Memory) -> Result<Bytes, Error>
 where
     B: Body<Data = Bytes> + Unpin,
 {
@@ -157,33 +157,7 @@
     if !taken.resize(stated, stated) {
         return Err(Error::NoMemory);
     }
-    let mut whole = BytesMut::new();
-    let mut first = Bytes::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| Error::Broken)?.into_data() else {
-            continue;
-        };
-        let length = first.len() + whole.len() + data.len();
-        if length > max_bytes {
-            return Err(Error::TooLarge);
-        }
-        if first.is_empty() && whole.is_empty() {
-            first = data;
-        } else {
-            if !first.is_empty() {
-                whole.reserve(stated.max(length));
-                whole.extend_from_slice(&std::mem::take(&mut first));
-            }
-            whole.extend_from_slice(&data);
-        }
-        if !taken.resize(stated.max(length), whole.capacity()) {
-            return Err(Error::NoMemory);
-        }
-    }
-    let bytes = match whole.is_empty() {
-        true => first,
-        false => whole.freeze(),
-    };
+    let bytes = collect(body, stated, max_bytes, &mut taken).await?;
     Ok(match taken.bytes {
         0 => bytes,
         _ => Bytes::from_owner(Kept {
@@ -203,32 +177,49 @@
 /// assert_eq!(&read_whole(body, &Memory::new(0)).await.unwrap()[..], b"text");
 /// # });
 /// ```
-pub async fn read_whole<B>(mut body: B, memory: &Memory) -> Option<Bytes>
+pub async fn read_whole<B>(body: B, memory: &Memory) -> Option<Bytes>
 where
     B: Body<Data = Bytes> + Unpin,
 {
     let mut taken = memory.buffer();
+    collect(body, 0, MAX_BODY_BYTES, &mut taken).await.ok()
+}
+
+/// Reads a whole body of at least `stated` bytes into memory that is taken for it.
+async fn collect<B>(
+    mut body: B,
+    stated: usize,
+    max_bytes: usize,
+    taken: &mut Taken,
+) -> Result<Bytes, Error>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     let mut whole = BytesMut::new();
     let mut first = Bytes::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else {
+        let Ok(data) = frame.map_err(|_| Error::Broken)?.into_data() else {
             continue;
         };
+        let length = first.len() + whole.len() + data.len();
+        if length > max_bytes {
+            return Err(Error::TooLarge);
+        }
         if first.is_empty() && whole.is_empty() {
             first = data;
         } else {
             if !first.is_empty() {
+                whole.reserve(stated.max(length));
                 whole.extend_from_slice(&std::mem::take(&mut first));
             }
             whole.extend_from_slice(&data);
         }
-        let length = first.len() + whole.len();
-        if length > MAX_BODY_BYTES || !taken.resize(length, whole.capacity()) {
-            return None;
+        if !taken.resize(stated.max(length), whole.capacity()) {
+            return Err(Error::NoMemory);
         }
     }
     match whole.is_empty() {
-        true => Some(first),
-        false => Some(whole.freeze()),
+        true => Ok(first),
+        false => Ok(whole.freeze()),
     }
 }
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -304,9 +304,13 @@
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(endpoint)?;
         let now = Instant::now();
-        connections.retain(|idle| idle.expires_at > now && idle.connection.is_ready());
-        let last = connections.iter().rposition(|it| suits(&it.connection))?;
-        Some(connections.remove(last).connection)
+        while let Some(last) = connections.iter().rposition(|it| suits(&it.connection)) {
+            let last = connections.remove(last);
+            if last.expires_at > now && last.connection.is_ready() {
+                return Some(last.connection);
+            }
+        }
+        None
     }
 
     /// Whether there is an idle connection that is still usable.
