Infer starts of endpoints that the store can't tell of

Cause: an endpoint counted as cold only if its entry said so, whatever the age of the entry, and although its connections had been refused since. Health responses that state it were parsed and not read. The daemons' logs show the table 2.7 s old, refused connections and an answered health check before the full traffic.

A process is now known to run on while the table is current, or while connections that it accepted are answered. After a refused connection, or a gap in that knowledge of more than the time for which the table is relied on, a connection that is accepted may lead to a new process, which is cold for the service's warm-up time. A response on an older connection disproves it. Requests sent in the second before a start is known count towards the limit, which is checked again once a connection is open. Nothing is added between daemons.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod choice;
 pub mod claim;
 pub mod clock;
+pub mod cold_start;
 pub mod consent;
 pub mod contention;
 pub mod election;
--- a/src/coordination/warmup.rs
+++ b/src/coordination/warmup.rs
@@ -11,7 +11,7 @@
 /// Margin for network jitter, by which requests may arrive closer together than they were sent.
 const JITTER: Duration = Duration::from_millis(150);
 
-/// Requests sent by one daemon to one cold endpoint in the last second.
+/// Requests sent by one daemon to one endpoint in the last second.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Warmup {
     sent: VecDeque<Duration>,
@@ -20,20 +20,33 @@
 impl Warmup {
     /// Whether one more request may be sent now; `share` is this daemon's limit in requests per second.
     pub fn allows(&mut self, share: usize, now: Duration) -> bool {
-        while self
-            .sent
-            .front()
-            .is_some_and(|sent| *sent + WINDOW + JITTER < now)
-        {
-            self.sent.pop_front();
-        }
+        self.forget_older(now);
         self.sent.len() < share
     }
 
-    /// Records a sent request.
+    /// Whether the requests sent, including one that is about to be, are within the limit.
+    pub fn is_within(&mut self, share: usize, now: Duration) -> bool {
+        self.forget_older(now);
+        self.sent.len() <= share
+    }
+
+    /// Records a request that is sent, whether the endpoint is known to be cold or not: it may turn out to be.
     pub fn sent(&mut self, now: Duration) {
+        self.forget_older(now);
         self.sent.push_back(now);
     }
+
+    /// Takes back the last request recorded, which was not sent after all.
+    pub fn unsent(&mut self) {
+        self.sent.pop_back();
+    }
+
+    fn forget_older(&mut self, now: Duration) {
+        let is_old = |sent: &Duration| *sent + WINDOW + JITTER < now;
+        while self.sent.front().is_some_and(is_old) {
+            self.sent.pop_front();
+        }
+    }
 }
 
 /// Requests per second that this daemon may send to a cold endpoint.
--- a/src/serving/choose.rs
+++ b/src/serving/choose.rs
@@ -16,7 +16,9 @@
 use crate::coordination::speed::{self, Expected};
 use crate::coordination::warmup;
 use crate::state::call::{Call, Generation};
+use crate::state::catalog::Service;
 use crate::state::record::Name;
+use crate::state::registry::Entry;
 
 /// Requests in flight at an engine, as a multiple of its slots, at which it gets no more.
 const ENGINE_FULL_FACTOR: f64 = 1.5;
@@ -123,9 +125,7 @@
     /// Records that the request is about to be sent to the endpoint.
     pub fn record(&self, now: Duration) {
         let mut state = self.endpoint.tracker.lock();
-        if now < state.cold_until {
-            state.warmup.sent(now);
-        }
+        state.warmup.sent(now);
         if self.is_trial {
             state.health.begin_trial(now);
         }
@@ -412,11 +412,10 @@
     if now < state.no_room_until {
         return Err(Unavailable::Room);
     }
-    if now < state.cold_until && admission.service.cold_per_second > 0.0 {
-        let limit = cold_limit(node, &entry.id, admission.service.cold_per_second);
-        if !state.warmup.allows(limit, now) {
-            return Err(Unavailable::Cold);
-        }
+    if let Some(limit) = cold_limit(node, &admission.service, entry, &mut state)
+        && !state.warmup.allows(limit, now)
+    {
+        return Err(Unavailable::Cold);
     }
     let engine = admission.service.engine.as_ref();
     let slots = f64::from(engine.map_or(entry.slots, |engine| engine.slots));
@@ -471,12 +470,28 @@
     }
 }
 
-/// This daemon's share of the requests per second that a cold endpoint may get.
-fn cold_limit(node: &Node, endpoint: &str, per_second: f64) -> usize {
+/// Whether the request that is about to be sent exceeds what a cold endpoint takes; a start of the endpoint may have become
+/// known since it was chosen.
+pub fn exceeds_cold_limit(node: &Node, service: &Service, endpoint: &Endpoint) -> bool {
+    let mut state = endpoint.tracker.lock();
+    let limit = cold_limit(node, service, &endpoint.entry, &mut state);
+    limit.is_some_and(|limit| !state.warmup.is_within(limit, node.now()))
+}
+
+/// This daemon's share of the requests per second that an endpoint may get because it is cold; `None` if it is not.
+fn cold_limit(node: &Node, service: &Service, entry: &Entry, state: &mut State) -> Option<usize> {
+    if service.cold_per_second <= 0.0 {
+        return None;
+    }
+    let has_started = state.cold_start.has_start() && state.cold_start.is_cold(node.boot_now());
+    if node.now() >= state.cold_until && !has_started {
+        return None;
+    }
     let names = node.peers.names();
     let daemons: Vec<&str> = names.iter().map(|name| &**name).collect();
-    let total = per_second * node.tuning.load().cold_over;
-    warmup::share(endpoint, &node.settings.name, &daemons, total)
+    let total = service.cold_per_second * node.tuning.load().cold_over;
+    let share = warmup::share(&entry.id, &node.settings.name, &daemons, total);
+    Some(share)
 }
 
 /// Shared list of daemons' names, replaced when daemons join or leave.
--- a/src/serving/endpoint.rs
+++ b/src/serving/endpoint.rs
@@ -8,6 +8,7 @@
 use parking_lot::Mutex;
 
 use super::room::permit::Permit;
+use crate::coordination::cold_start::ColdStart;
 use crate::coordination::health::Health;
 use crate::coordination::pace::Pace;
 use crate::coordination::recency::forget_older;
@@ -39,10 +40,12 @@
     pub speeds: Learned,
     /// Limit after a start or a recovery, where the service is contended.
     pub pace: Pace,
-    /// Requests sent while cold.
+    /// Requests sent in the last second.
     pub warmup: Warmup,
-    /// Time until which the endpoint is cold.
+    /// Time until which the endpoint is cold, as it has stated or as it was put back in service.
     pub cold_until: Duration,
+    /// Starts that the endpoint has not stated, in times of the boot clock.
+    pub cold_start: ColdStart,
     /// Time until which the endpoint wants no requests from this daemon.
     pub quiet_until: Duration,
     /// Whether the endpoint has said in a response that it leaves.
--- a/src/serving/ends.rs
+++ b/src/serving/ends.rs
@@ -1,7 +1,6 @@
 //! Tells the end of an endpoint from the loss of a connection to it.
 
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,10 +9,10 @@
 use tokio::time::sleep;
 
 use super::endpoint::Endpoint;
-use super::{Node, links};
+use super::{Node, links, starts};
 use crate::state::call::KeepAlive;
 use crate::state::record::Name;
-use crate::transport::exchange::{Connection, Error};
+use crate::transport::exchange::Connection;
 
 /// Timeout of a connection to an endpoint that may have ended.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -62,8 +61,10 @@
         if is_replaced(node, endpoint) {
             return true;
         }
-        match Connection::connect(entry.address, CONNECT_TIMEOUT).await {
-            Err(Error::Unreachable(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+        let connected = Connection::connect(entry.address, CONNECT_TIMEOUT).await;
+        starts::tried(node, endpoint, &connected);
+        match connected {
+            Err(error) if error.is_refused() => {
                 endpoint.tracker.lock().health.unreachable(node.now());
                 return links::is_refused_elsewhere(node, endpoint).await;
             }
--- a/src/serving/feed/mod.rs
+++ b/src/serving/feed/mod.rs
@@ -421,6 +421,14 @@
     }
 }
 
+/// Latest time of the boot clock at which the copy of a table is known to have been current, zero before the first read, and
+/// the longest time without such a proof for which the copy is relied on.
+pub fn proven(node: &Node, table: Table, boot_now: Duration) -> (Duration, Duration) {
+    let age = feed(node, table).age(boot_now);
+    let proven_at = age.map_or(Duration::ZERO, |age| boot_now.saturating_sub(age));
+    (proven_at, max_age(node, table))
+}
+
 /// Name of a table in the store.
 pub fn table_name(node: &Node, table: Table) -> &'static str {
     match table {
--- a/src/serving/fleet.rs
+++ b/src/serving/fleet.rs
@@ -213,7 +213,12 @@
             .as_ref()
             .is_some_and(|before| before.started_ms != entry.started_ms);
         if restarted {
-            inner.trackers.remove(&id);
+            let previous = inner.trackers.remove(&id);
+            let tracker = inner.trackers.entry(id.clone()).or_default();
+            if let Some(previous) = previous {
+                // Requests may have reached this start before its entry was read.
+                tracker.lock().warmup = previous.lock().warmup.clone();
+            }
         }
         // A daemon that has just started doesn't know which endpoints have.
         let has_started = restarted || (before.is_none() && now >= FIRST_READ_TIME);
--- a/src/serving/links.rs
+++ b/src/serving/links.rs
@@ -1,6 +1,5 @@
 //! Watches this daemon's links to the endpoints, and probes a few of them while it is not known whether the links are lost.
 
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +17,7 @@
 
 use super::endpoint::{Endpoint, View};
 use super::peers::source::Slot;
-use super::{Node, pace};
+use super::{Node, pace, starts};
 use crate::coordination::links::{Change, Links, Probe};
 use crate::coordination::pace::Cause;
 use crate::state::catalog::Service;
@@ -157,11 +156,11 @@
 /// Whether an endpoint refuses connections of this daemon; `None` if that can't be told.
 async fn is_refused(node: &Node, endpoint: &Name) -> Option<bool> {
     let endpoint = node.fleet.view.load().all.get(endpoint)?.clone();
-    match Connection::connect(endpoint.entry.address, PROBE_TIMEOUT).await {
+    let connected = Connection::connect(endpoint.entry.address, PROBE_TIMEOUT).await;
+    starts::tried(node, &endpoint, &connected);
+    match connected {
         Ok(_) => Some(false),
-        Err(Error::Unreachable(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            (!is_lost_after_all(node).await).then_some(true)
-        }
+        Err(error) if error.is_refused() => (!is_lost_after_all(node).await).then_some(true),
         Err(_) => None,
     }
 }
@@ -210,7 +209,7 @@
     let probes = endpoints.iter().zip(&services).map(|(endpoint, service)| {
         let service = service.as_ref();
         let check = service.and_then(|service| check(node, endpoint, service, has_engine));
-        probe(endpoint, check)
+        probe(node, endpoint, check)
     });
     let probes = join_all(probes).await;
     node.meter.link_probes.inc_by(probes.len() as u64);
@@ -292,9 +291,10 @@
 }
 
 /// Opens a connection to an endpoint and sends it a request, if there is one.
-async fn probe(endpoint: &Endpoint, check: Option<Check>) -> Probe {
-    let address = endpoint.entry.address;
-    let Ok(mut connection) = Connection::connect(address, PROBE_TIMEOUT).await else {
+async fn probe(node: &Node, endpoint: &Endpoint, check: Option<Check>) -> Probe {
+    let connected = Connection::connect(endpoint.entry.address, PROBE_TIMEOUT).await;
+    starts::tried(node, endpoint, &connected);
+    let Ok(mut connection) = connected else {
         return Probe::Unreachable;
     };
     let Some((request, timeout)) = check else {
@@ -306,7 +306,11 @@
         };
     };
     match connection.fetch(request, timeout).await {
-        Ok(_) => Probe::Answered,
+        Ok(response) => {
+            let (parts, _) = response.into_parts();
+            starts::stated(node, endpoint, &(node.codec.head)(&parts));
+            Probe::Answered
+        }
         Err(Error::Timeout) => Probe::Silent,
         Err(_) => Probe::Unreachable,
     }
--- a/src/serving/meter.rs
+++ b/src/serving/meter.rs
@@ -63,6 +63,13 @@
     pub table: &'static str,
 }
 
+/// Labels of the counter of inferred starts.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Inferred {
+    /// Why the endpoint is taken to have started.
+    pub cause: &'static str,
+}
+
 /// Labels of the counter of usage reports.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Report {
@@ -139,6 +146,10 @@
     pub failed_connections: Counter,
     /// New connections to endpoints.
     pub connects: Counter,
+    /// Starts of endpoints that their entries have not told of, by why they are inferred.
+    pub inferred_starts: Family<Inferred, Counter>,
+    /// Requests that were not sent on a new connection because the endpoint turned out to be cold.
+    pub cold_unsent: Counter,
     /// Time for which changes of a table may have been missed, in milliseconds.
     pub table_age: Family<Age, Gauge>,
     /// Polls of the store that were not answered in time.
@@ -217,6 +228,16 @@
                 "Connections from callers that ended with an error",
             ),
             connects: metric::register(registry, "connects", "New connections to endpoints"),
+            inferred_starts: metric::register(
+                registry,
+                "inferred_starts",
+                "Starts of endpoints that their entries have not told of",
+            ),
+            cold_unsent: metric::register(
+                registry,
+                "cold_unsent",
+                "Sends prevented as the endpoint turned out to be cold",
+            ),
             table_age: metric::register(
                 registry,
                 "table_age_milliseconds",
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -35,6 +35,7 @@
 pub mod room;
 pub mod send;
 pub mod settings;
+pub mod starts;
 pub mod statement;
 pub mod stream;
 pub mod wait;
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -18,10 +18,10 @@
 use super::duty::usage::Ticket;
 use super::endpoint::{Endpoint, InFlight};
 use super::room::turn::Denial;
-use super::{journal, pace, quarantine, room, statement};
+use super::{journal, pace, quarantine, room, starts, statement};
 use crate::coordination::pace::Failure;
 use crate::coordination::speed::{Expected, Progress};
-use crate::state::call::{Call, Dispatch, Head};
+use crate::state::call::{Call, Dispatch, Head, KeepAlive};
 use crate::state::record::Name;
 use crate::transport::exchange::{Connection, Error};
 
@@ -365,16 +365,20 @@
         let (tokens, permit) = (choice.uncached_tokens, choice.permit.clone());
         let flight = InFlight::open(&choice.endpoint.tracker, tokens, permit);
         let Some(mut connection) = self.connect(choice).await else {
-            statement::release(&self.node, &choice.endpoint);
+            self.count_unsent(choice);
             return None;
         };
+        if choose::exceeds_cold_limit(&self.node, &self.admission.service, &choice.endpoint) {
+            self.give_back(choice, connection);
+            return None;
+        }
         let is_probe = std::mem::take(&mut self.is_probe);
         let may_be_sent =
             !is_probe || quarantine::probe(&self.node, &self.call, self.admission.caller()).await;
         let is_closed = choice.endpoint.tracker.lock().is_closed(self.node.now());
         if !may_be_sent || is_closed || self.is_out_of_time() {
             // This has changed while the connection was opened, or while this process did not run.
-            statement::release(&self.node, &choice.endpoint);
+            self.count_unsent(choice);
             return None;
         }
         let now = self.node.now();
@@ -400,6 +404,21 @@
         })
     }
 
+    /// Gives back what was taken for a request that the endpoint, which has turned out to be cold, is not sent.
+    fn give_back(&self, choice: &Choice, connection: Connection) {
+        self.count_unsent(choice);
+        let id = &choice.endpoint.entry.id;
+        self.node.pool_connection(id, connection, KeepAlive::Open);
+        self.node.meter.cold_unsent.inc();
+        self.log("cold", choice, "-");
+    }
+
+    /// Takes back that a request was sent to the chosen endpoint.
+    fn count_unsent(&self, choice: &Choice) {
+        choice.endpoint.tracker.lock().warmup.unsent();
+        statement::release(&self.node, &choice.endpoint);
+    }
+
     /// Whether all responses are late, so that another endpoint may be asked; records those that have become late.
     pub fn all_late(&self, pending: &mut [Pending]) -> bool {
         let now = self.node.now();
@@ -461,6 +480,8 @@
         match response {
             Ok(response) => {
                 self.node.links.answered(self.node.now());
+                let elapsed = self.node.now().saturating_sub(pending.sent_at);
+                starts::responded(&self.node, &choice.endpoint, &pending.connection, elapsed);
                 let (parts, body) = response.into_parts();
                 let head = (self.node.codec.head)(&parts);
                 statement::observe(&self.node, &choice.endpoint, &head);
@@ -493,7 +514,7 @@
                 self.delivered -= 1;
                 let id = &choice.endpoint.entry.id;
                 self.tried.retain(|tried| tried != id);
-                statement::release(&self.node, &choice.endpoint);
+                self.count_unsent(&choice);
                 Outcome::Unsent
             }
             Err(error) => {
@@ -532,7 +553,9 @@
         }
         node.meter.connects.inc();
         let connect_timeout = CONNECT_TIMEOUT.min(self.remaining());
-        match Connection::connect(entry.address, connect_timeout).await {
+        let connected = Connection::connect(entry.address, connect_timeout).await;
+        starts::tried(node, &choice.endpoint, &connected);
+        match connected {
             Ok(connection) => Some(connection),
             Err(error) => {
                 let now = node.now();
--- /dev/null
+++ b/src/serving/starts.rs
@@ -0,0 +1,87 @@
+//! Infers starts of endpoints that their entries have not told of, so that a cold endpoint gets no more than it takes.
+
+use std::time::Duration;
+
+use super::Node;
+use super::endpoint::Endpoint;
+use super::feed::{self, Table};
+use super::meter::Inferred;
+use crate::state::call::Head;
+use crate::transport::exchange::{Connection, Error};
+
+/// Records the outcome of an attempt to connect to an endpoint.
+pub fn tried(node: &Node, endpoint: &Endpoint, outcome: &Result<Connection, Error>) {
+    let now = node.boot_now();
+    match outcome {
+        Ok(_) => connected(node, endpoint, now),
+        Err(error) if error.is_refused() => endpoint.tracker.lock().cold_start.refused(now),
+        Err(_) => {}
+    }
+}
+
+fn connected(node: &Node, endpoint: &Endpoint, now: Duration) {
+    let (proven_at, max_gap) = feed::proven(node, Table::Endpoints, now);
+    let Some(service) = node.fleet.service(&endpoint.entry) else {
+        return;
+    };
+    let start = {
+        let mut state = endpoint.tracker.lock();
+        let cold_start = &mut state.cold_start;
+        cold_start.connected(proven_at, max_gap, service.cold_time, now)
+    };
+    let Some(start) = start.filter(|_| service.cold_per_second > 0.0) else {
+        return;
+    };
+    let cause = start.cause.name();
+    let label = Inferred { cause };
+    node.meter.inferred_starts.get_or_create(&label).inc();
+    spdlog::info!("endpoints: taken to have started", kv: {
+        endpoint: = endpoint.entry.id,
+        cause,
+        known_age_ms = now.saturating_sub(start.after).as_millis() as u64,
+        table_age_ms = now.saturating_sub(proven_at).as_millis() as u64,
+        cold_ms = service.cold_time.as_millis() as u64,
+    });
+}
+
+/// Records a response to a request that was sent `elapsed` ago on a connection to an endpoint.
+pub fn responded(node: &Node, endpoint: &Endpoint, connection: &Connection, elapsed: Duration) {
+    let now = node.boot_now();
+    let opened_at = now.saturating_sub(connection.age());
+    let sent_at = now.saturating_sub(elapsed);
+    let start = {
+        let mut state = endpoint.tracker.lock();
+        state.cold_start.responded(opened_at, sent_at)
+    };
+    if let Some(start) = start {
+        spdlog::info!("endpoints: has not started", kv: {
+            endpoint: = endpoint.entry.id,
+            cause = start.cause.name(),
+            believed_ms = now.saturating_sub(start.accepted_at).as_millis() as u64,
+        });
+    }
+}
+
+/// Adopts what an endpoint's response to a health check states of whether it is cold.
+pub fn stated(node: &Node, endpoint: &Endpoint, head: &Head) {
+    let entry = &endpoint.entry;
+    let is_own = head.endpoint.as_ref().is_some_and(|id| *id == entry.id);
+    let Some(left) = head.cold.filter(|_| is_own) else {
+        return;
+    };
+    let now = node.now();
+    let was_cold = {
+        let mut state = endpoint.tracker.lock();
+        let was_cold = state.cold_start.has_start() || now < state.cold_until;
+        state.cold_start.stated(node.boot_now());
+        state.cold_until = now + left;
+        was_cold
+    };
+    if was_cold || !left.is_zero() {
+        spdlog::info!("endpoints: stated to be cold", kv: {
+            endpoint: = entry.id,
+            cold_ms = left.as_millis() as u64,
+            was_cold,
+        });
+    }
+}
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -2,6 +2,7 @@
 //! speculative connects and no implicit reuse, and errors state whether a request may have been written.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::time::Duration;
@@ -69,6 +70,13 @@
 
 impl std::error::Error for Error {}
 
+impl Error {
+    /// Whether the peer refused the connection: no process listens there.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Unreachable(error) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Disables Nagle's algorithm and sets the timeouts that detect an unresponsive peer, for a connection or for those that
 /// a listener accepts from then on.
 ///
@@ -102,6 +110,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    opened_at: Instant,
     /// Whether a request was sent.
     is_used: bool,
     /// Whether the response to the last request names that request.
@@ -146,6 +155,7 @@
         Ok(Self {
             sender,
             task: task.abort_handle(),
+            opened_at: Instant::now(),
             is_used: false,
             is_named: false,
             allowance,
@@ -157,6 +167,11 @@
         self.sender.is_ready() && !self.sender.is_closed()
     }
 
+    /// Time since it was opened.
+    pub fn age(&self) -> Duration {
+        self.opened_at.elapsed()
+    }
+
     /// Whether a request was sent on it before, so that what arrives may belong to that one.
     pub fn is_used(&self) -> bool {
         self.is_used
--- a/tests/warmup.rs
+++ b/tests/warmup.rs
@@ -44,3 +44,30 @@
         assert!(sent.iter().filter(|at| *at >= start && **at < end).count() <= 4);
     }
 }
+
+/// Guards against the cold limit on top of what was sent in the second before the endpoint was known to be cold.
+#[test]
+fn requests_sent_before_count_towards_the_share() {
+    let mut warmup = Warmup::default();
+    for step in 0..10_u64 {
+        warmup.sent(Duration::from_millis(step * 50));
+    }
+    assert!(!warmup.allows(4, Duration::from_millis(500)));
+    // Six of them have left the window.
+    assert!(!warmup.allows(4, Duration::from_millis(1440)));
+    assert!(warmup.allows(4, Duration::from_millis(1500)));
+}
+
+/// Guards against requests that are not sent and take room from others.
+#[test]
+fn request_that_was_not_sent_does_not_count() {
+    let mut warmup = Warmup::default();
+    let now = Duration::from_secs(1);
+    for _ in 0..3 {
+        warmup.sent(now);
+    }
+    assert!(!warmup.is_within(2, now));
+    warmup.unsent();
+    assert!(warmup.is_within(2, now));
+    assert!(!warmup.allows(2, now));
+}
