Keep endpoints cold that an older copy of the store shows as warm

Cause: an entry that states no warm-up time made the endpoint warm at once, although a later entry had been read that states one; an entry of an earlier start dropped what was known of the current one.

An entry can now lengthen a cold start that the endpoint has stated, and not shorten it. Entries have no time by which an older one could be told from a newer one, and being limited for too long costs less than a replica that falls over.

--- a/src/serving/fleet.rs
+++ b/src/serving/fleet.rs
@@ -216,8 +216,17 @@
             let previous = inner.trackers.remove(&id);
             let tracker = inner.trackers.entry(id.clone()).or_default();
             if let Some(previous) = previous {
+                let (mut state, previous) = (tracker.lock(), previous.lock());
                 // Requests may have reached this start before its entry was read.
-                tracker.lock().warmup = previous.lock().warmup.clone();
+                state.warmup = previous.warmup.clone();
+                if before
+                    .as_ref()
+                    .is_some_and(|before| before.started_ms > entry.started_ms)
+                {
+                    // An older copy of the store shows the start before.
+                    state.cold_until = previous.cold_until;
+                    state.cold_start = previous.cold_start;
+                }
             }
         }
         // A daemon that has just started doesn't know which endpoints have.
@@ -234,10 +243,8 @@
                     after:? = change.after,
                 });
             }
-            state.cold_until = match entry.cold.is_zero() {
-                true => state.cold_until.min(now),
-                false => now + entry.cold,
-            };
+            // An entry that states less than was known may be from an older copy of the store.
+            state.cold_until = state.cold_until.max(now + entry.cold);
             if state
                 .placer_report_at
                 .is_none_or(|at| at + PLACER_REPORT_TTL < now)
