Take only statuses of final responses for answers

Reported elsewhere: a client got an answer whose status was 000. Here the HTTP library refuses 000 and all that isn't three digits from 100 on, but callers got 101 without an upgrade, and 600 to 999, as answers of the replica; a rejection with such a status was believed, so that a caller was told 503 of a call that had run.

Cause: no place said which statuses a final response can have.

Connections to endpoints, daemons, the store and the platform's API now take 200 to 599.

--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -62,6 +62,8 @@
     Unsent,
     /// the connection broke after the request may have been sent: {0}
     Broken(hyper::Error),
+    /// the response has status {0}, which no final response has
+    Status(StatusCode),
     /// no response within the timeout
     Timeout,
     /// the body ended early or is too large
@@ -105,6 +107,12 @@
     Ok(listener)
 }
 
+/// Whether a status is one of a final response (RFC 9110, section 15); the HTTP library takes any from 100 to 999, and 101
+/// as the answer to a request that asked for no upgrade.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// One connection; dropping it aborts the exchange in progress.
 #[derive(Debug)]
 pub struct Connection {
@@ -185,7 +193,7 @@
     /// Sends a request that its response names, and waits for the head of the response.
     ///
     /// # Errors
-    /// [`Error::Unsent`] if nothing was written, [`Error::Broken`] otherwise.
+    /// [`Error::Unsent`] if nothing was written, [`Error::Broken`] or [`Error::Status`] otherwise.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -210,10 +218,14 @@
         async move {
             let response = sent.await;
             allowance.lift();
-            response.map_err(|mut error| match error.take_message() {
+            let response = response.map_err(|mut error| match error.take_message() {
                 Some(_) => Error::Unsent,
                 None => Error::Broken(error.into_error()),
-            })
+            })?;
+            match is_final(response.status()) {
+                true => Ok(response),
+                false => Err(Error::Status(response.status())),
+            }
         }
     }
 
