Infer starts from all connections to endpoints

Found by reading the paths on which a connection gets into the pool: the placer's connections for reports and orders carry requests later, and nothing was inferred when they were opened. An engine that had started again while the store was away got 661 requests in a second where 25 are allowed, if the placer had asked for its report first.

Cause: the inference was made where requests open connections, instead of where connections to endpoints are opened.

serving::starts now opens all of them: for requests, reports, orders, probes of links and checks of ends.

--- a/src/serving/ends.rs
+++ b/src/serving/ends.rs
@@ -12,7 +12,6 @@
 use super::{Node, links, starts};
 use crate::state::call::KeepAlive;
 use crate::state::record::Name;
-use crate::transport::exchange::Connection;
 
 /// Timeout of a connection to an endpoint that may have ended.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -61,9 +60,7 @@
         if is_replaced(node, endpoint) {
             return true;
         }
-        let connected = Connection::connect(entry.address, CONNECT_TIMEOUT).await;
-        starts::tried(node, endpoint, &connected);
-        match connected {
+        match starts::connect(node, endpoint, CONNECT_TIMEOUT).await {
             Err(error) if error.is_refused() => {
                 endpoint.tracker.lock().health.unreachable(node.now());
                 return links::is_refused_elsewhere(node, endpoint).await;
--- a/src/serving/links.rs
+++ b/src/serving/links.rs
@@ -22,7 +22,7 @@
 use crate::coordination::pace::Cause;
 use crate::state::catalog::Service;
 use crate::state::record::Name;
-use crate::transport::exchange::{Connection, Error};
+use crate::transport::exchange::Error;
 
 /// Number of endpoints probed in a round.
 const PROBES: usize = 4;
@@ -156,9 +156,7 @@
 /// Whether an endpoint refuses connections of this daemon; `None` if that can't be told.
 async fn is_refused(node: &Node, endpoint: &Name) -> Option<bool> {
     let endpoint = node.fleet.view.load().all.get(endpoint)?.clone();
-    let connected = Connection::connect(endpoint.entry.address, PROBE_TIMEOUT).await;
-    starts::tried(node, &endpoint, &connected);
-    match connected {
+    match starts::connect(node, &endpoint, PROBE_TIMEOUT).await {
         Ok(_) => Some(false),
         Err(error) if error.is_refused() => (!is_lost_after_all(node).await).then_some(true),
         Err(_) => None,
@@ -292,9 +290,7 @@
 
 /// Opens a connection to an endpoint and sends it a request, if there is one.
 async fn probe(node: &Node, endpoint: &Endpoint, check: Option<Check>) -> Probe {
-    let connected = Connection::connect(endpoint.entry.address, PROBE_TIMEOUT).await;
-    starts::tried(node, endpoint, &connected);
-    let Ok(mut connection) = connected else {
+    let Ok(mut connection) = starts::connect(node, endpoint, PROBE_TIMEOUT).await else {
         return Probe::Unreachable;
     };
     let Some((request, timeout)) = check else {
--- a/src/serving/placer/order.rs
+++ b/src/serving/placer/order.rs
@@ -1,6 +1,5 @@
 //! Sends orders to engines and reads their reports.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,8 +9,9 @@
 use crate::protocol::connection::keep_alive;
 use crate::serving::Node;
 use crate::serving::codec::{Operation, Order, Outcome, Report};
+use crate::serving::endpoint::Endpoint;
 use crate::serving::engine::Handle;
-use crate::serving::statement;
+use crate::serving::{starts, statement};
 use crate::state::record::Name;
 use crate::transport::exchange::Connection;
 
@@ -51,7 +51,7 @@
     let request = (node.codec.ask_report)(entry);
     let mut connection = match node.pool.take_for_unnamed(id) {
         Some(connection) => connection,
-        None => connect(node, entry.address).await?,
+        None => connect(node, endpoint).await?,
     };
     let is_reused = connection.is_used();
     let response = connection
@@ -83,9 +83,9 @@
     Some(report)
 }
 
-async fn connect(node: &Node, address: SocketAddr) -> Option<Connection> {
+async fn connect(node: &Node, endpoint: &Endpoint) -> Option<Connection> {
     node.meter.connects.inc();
-    Connection::connect(address, ORDER_TIMEOUT).await.ok()
+    starts::connect(node, endpoint, ORDER_TIMEOUT).await.ok()
 }
 
 /// Sends an order until it is answered, the attempts or the lease end, or the engine is gone or has restarted.
@@ -112,14 +112,15 @@
     };
     for attempt in 0..MAX_ORDER_ATTEMPTS {
         let view = node.fleet.view.load_full();
-        let entry = &view.all.get(id)?.entry;
+        let endpoint = view.all.get(id)?;
+        let entry = &endpoint.entry;
         if entry.started_ms != started_ms
             || node.placer.inventory.lock().engine_mut(handle).is_none()
         {
             return None;
         }
         // Responses to orders name no request: on a connection that was used, one could be a late copy of another response.
-        let Some(mut connection) = connect(node, entry.address).await else {
+        let Some(mut connection) = connect(node, endpoint).await else {
             sleep(RESEND_DELAY).await;
             continue;
         };
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -553,9 +553,7 @@
         }
         node.meter.connects.inc();
         let connect_timeout = CONNECT_TIMEOUT.min(self.remaining());
-        let connected = Connection::connect(entry.address, connect_timeout).await;
-        starts::tried(node, &choice.endpoint, &connected);
-        match connected {
+        match starts::connect(node, &choice.endpoint, connect_timeout).await {
             Ok(connection) => Some(connection),
             Err(error) => {
                 let now = node.now();
--- a/src/serving/starts.rs
+++ b/src/serving/starts.rs
@@ -9,14 +9,24 @@
 use crate::state::call::Head;
 use crate::transport::exchange::{Connection, Error};
 
-/// Records the outcome of an attempt to connect to an endpoint.
-pub fn tried(node: &Node, endpoint: &Endpoint, outcome: &Result<Connection, Error>) {
+/// Connects to an endpoint within a timeout, and records what that shows of its process. All connections to endpoints are
+/// opened here, as any of them may be used for a request later.
+///
+/// # Errors
+/// As those of [`Connection::connect`].
+pub async fn connect(
+    node: &Node,
+    endpoint: &Endpoint,
+    within: Duration,
+) -> Result<Connection, Error> {
+    let result = Connection::connect(endpoint.entry.address, within).await;
     let now = node.boot_now();
-    match outcome {
+    match &result {
         Ok(_) => connected(node, endpoint, now),
         Err(error) if error.is_refused() => endpoint.tracker.lock().cold_start.refused(now),
         Err(_) => {}
     }
+    result
 }
 
 fn connected(node: &Node, endpoint: &Endpoint, now: Duration) {
