Infer starts only for services with a limit on cold endpoints

No decision there depends on what was added; each connection and response took locks and readings of the clock for it all the same.

Nothing is recorded or inferred now for a service whose cold endpoints have no limit, so that such a deployment is served as before.

--- a/src/serving/choose.rs
+++ b/src/serving/choose.rs
@@ -123,9 +123,11 @@
 
 impl Choice {
     /// Records that the request is about to be sent to the endpoint.
-    pub fn record(&self, now: Duration) {
+    pub fn record(&self, service: &Service, now: Duration) {
         let mut state = self.endpoint.tracker.lock();
-        state.warmup.sent(now);
+        if service.has_cold_limit() {
+            state.warmup.sent(now);
+        }
         if self.is_trial {
             state.health.begin_trial(now);
         }
@@ -473,6 +475,9 @@
 /// Whether the request that is about to be sent exceeds what a cold endpoint takes; a start of the endpoint may have become
 /// known since it was chosen.
 pub fn exceeds_cold_limit(node: &Node, service: &Service, endpoint: &Endpoint) -> bool {
+    if !service.has_cold_limit() {
+        return false;
+    }
     let mut state = endpoint.tracker.lock();
     let limit = cold_limit(node, service, &endpoint.entry, &mut state);
     limit.is_some_and(|limit| !state.warmup.is_within(limit, node.now()))
@@ -480,7 +485,7 @@
 
 /// This daemon's share of the requests per second that an endpoint may get because it is cold; `None` if it is not.
 fn cold_limit(node: &Node, service: &Service, entry: &Entry, state: &mut State) -> Option<usize> {
-    if service.cold_per_second <= 0.0 {
+    if !service.has_cold_limit() {
         return None;
     }
     let has_started = state.cold_start.has_start() && state.cold_start.is_cold(node.boot_now());
--- a/src/serving/send.rs
+++ b/src/serving/send.rs
@@ -327,7 +327,7 @@
             statement::release(&self.node, &choice.endpoint);
             return Err(Unavailable::Retry);
         }
-        choice.record(self.node.now());
+        choice.record(&self.admission.service, self.node.now());
         Ok(choice)
     }
 
@@ -415,7 +415,9 @@
 
     /// Takes back that a request was sent to the chosen endpoint.
     fn count_unsent(&self, choice: &Choice) {
-        choice.endpoint.tracker.lock().warmup.unsent();
+        if self.admission.service.has_cold_limit() {
+            choice.endpoint.tracker.lock().warmup.unsent();
+        }
         statement::release(&self.node, &choice.endpoint);
     }
 
@@ -480,8 +482,10 @@
         match response {
             Ok(response) => {
                 self.node.links.answered(self.node.now());
-                let elapsed = self.node.now().saturating_sub(pending.sent_at);
-                starts::responded(&self.node, &choice.endpoint, &pending.connection, elapsed);
+                if self.admission.service.has_cold_limit() {
+                    let elapsed = self.node.now().saturating_sub(pending.sent_at);
+                    starts::responded(&self.node, &choice.endpoint, &pending.connection, elapsed);
+                }
                 let (parts, body) = response.into_parts();
                 let head = (self.node.codec.head)(&parts);
                 statement::observe(&self.node, &choice.endpoint, &head);
--- a/src/serving/starts.rs
+++ b/src/serving/starts.rs
@@ -20,26 +20,30 @@
     within: Duration,
 ) -> Result<Connection, Error> {
     let result = Connection::connect(endpoint.entry.address, within).await;
-    let now = node.boot_now();
+    let service = node.fleet.service(&endpoint.entry);
+    let Some(service) = service.filter(|service| service.has_cold_limit()) else {
+        return result;
+    };
     match &result {
-        Ok(_) => connected(node, endpoint, now),
-        Err(error) if error.is_refused() => endpoint.tracker.lock().cold_start.refused(now),
+        Ok(_) => connected(node, endpoint, service.cold_time),
+        Err(error) if error.is_refused() => {
+            let now = node.boot_now();
+            endpoint.tracker.lock().cold_start.refused(now);
+        }
         Err(_) => {}
     }
     result
 }
 
-fn connected(node: &Node, endpoint: &Endpoint, now: Duration) {
+fn connected(node: &Node, endpoint: &Endpoint, cold_time: Duration) {
+    let now = node.boot_now();
     let (proven_at, max_gap) = feed::proven(node, Table::Endpoints, now);
-    let Some(service) = node.fleet.service(&endpoint.entry) else {
-        return;
-    };
     let start = {
         let mut state = endpoint.tracker.lock();
         let cold_start = &mut state.cold_start;
-        cold_start.connected(proven_at, max_gap, service.cold_time, now)
+        cold_start.connected(proven_at, max_gap, cold_time, now)
     };
-    let Some(start) = start.filter(|_| service.cold_per_second > 0.0) else {
+    let Some(start) = start else {
         return;
     };
     let cause = start.cause.name();
@@ -50,7 +54,7 @@
         cause,
         known_age_ms = now.saturating_sub(start.after).as_millis() as u64,
         table_age_ms = now.saturating_sub(proven_at).as_millis() as u64,
-        cold_ms = service.cold_time.as_millis() as u64,
+        cold_ms = cold_time.as_millis() as u64,
     });
 }
 
--- a/src/state/catalog.rs
+++ b/src/state/catalog.rs
@@ -156,6 +156,29 @@
     pub scale: Option<Scale>,
 }
 
+impl Service {
+    /// Whether cold endpoints of the service take fewer requests.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use persimmoncroft::state::catalog::Service;
+    /// let service = |cold_per_second| Service {
+    ///     name: "desk".into(),
+    ///     connections: 100,
+    ///     cold_per_second,
+    ///     cold_time: Duration::from_secs(3),
+    ///     engine: None,
+    ///     health_target: None,
+    ///     scale: None,
+    /// };
+    /// assert!(service(39.0).has_cold_limit());
+    /// assert!(!service(0.0).has_cold_limit());
+    /// ```
+    pub fn has_cold_limit(&self) -> bool {
+        self.cold_per_second > 0.0
+    }
+}
+
 /// A customer with a rate limit over the whole fleet.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Workspace {
