--- a/review/13/play.py
+++ b/review/13/play.py
@@ -13,8 +13,8 @@
 COPY_AGE_S = 4.0
 # Entries are back within about two seconds of the store's return; so is the removal of this one.
 WRITTEN_AGAIN_S = 2.0
-# It serves for DrainMs and some seconds more, and then exits.
-SERVES_S = 5.0
+# It serves for DrainMs and some seconds more, about 5 in all, and then exits: so long after the store's return.
+EXITS_AFTER_S = 0.4
 
 
 async def play(record, trouble, folder, daemons):
@@ -22,7 +22,7 @@
     routes = [stand3.route("read", "idempotent", "desk"),
               stand3.route("charge", "non_idempotent", "desk", attempts=1)]
     store.put("op", "config", stand3.config(3, routes, [stand3.plain_service("desk")]))
-    replicas = [await stand3.Replica(store, record, "desk", zone, run_s=0.15).start() for zone in "aabb"]
+    replicas = [await stand3.Replica(store, record, "desk", zone, run_s=0.3).start() for zone in "aabb"]
     for name, zone in (("front-a-1", "a"), ("front-b-1", "b")):
         daemons.append(stand3.Daemon(name, zone, store.address, folder, record))
         await daemons[-1].start()
@@ -32,7 +32,7 @@
 
     tries = []  # sent at, daemon, id
     passed = {}  # daemon -> time at which it had passed on an answer with Server-Leaving
-    outcomes = {}
+    outcomes, statuses = {}, {}
     is_over = asyncio.Event()
 
     async def attempt(daemon, number):
@@ -43,6 +43,7 @@
         answer = await stand3.call(daemon.port, "POST", f"/{path}/{number}", request_id)
         record.line(f"{request_id}, sent at {sent_at:.3f}: {answer.status}, Server-Leaving "
                     f"{answer.headers.get('server-leaving', '-')}")
+        statuses[request_id] = answer.status
         outcomes[answer.status] = outcomes.get(answer.status, 0) + 1
         if answer.headers.get("server-leaving") == "1":
             passed.setdefault(daemon.name, record.now())
@@ -71,12 +72,13 @@
     store.remove("servers", leaving.id)
 
     async def leave():
-        await asyncio.sleep(SERVES_S)
+        await returned.wait()
+        await asyncio.sleep(EXITS_AFTER_S)
         record.line(f"{leaving.id} exits, with {leaving.running} under way")
         cut.extend(leaving.running)
         leaving.end()
 
-    cut = []
+    cut, returned = [], asyncio.Event()
     exiting = asyncio.create_task(leave())
     await asyncio.sleep(copied_at + COPY_AGE_S - record.now())
     if trouble:
@@ -86,18 +88,22 @@
         store.restore(copy)
         store.away(False)
         record.line(f"the store is back from a copy, {record.now() - copied_at:.1f} s old")
+        returned.set()
         # The others' heartbeats write their entries again; the operator writes its config again.
         store.put("op", "config", stand3.config(3, routes, [stand3.plain_service("desk")]))
         await asyncio.sleep(WRITTEN_AGAIN_S)
         store.remove("servers", leaving.id)
         record.line(f"the removal of {leaving.id} is written again")
     else:
-        await asyncio.sleep(AWAY_S + WRITTEN_AGAIN_S)
+        await asyncio.sleep(AWAY_S)
+        returned.set()
+        await asyncio.sleep(WRITTEN_AGAIN_S)
     await asyncio.sleep(1.5)
     is_over.set()
     await asyncio.gather(exiting, *loads)
 
-    record.say(f"requests under way when it exited: {cut}")
+    for request_id in cut:
+        record.say(f"{request_id} was under way when it exited: the client got {statuses.get(request_id)}")
     record.say(f"answers: {outcomes}")
     if len(passed) < len(daemons):
         raise stand3.CannotRun(f"only {sorted(passed)} passed on an answer with Server-Leaving")
--- a/review/stand3.py
+++ b/review/stand3.py
@@ -184,17 +184,17 @@
         writer.write(head(status, headers, len(body)) + body)
         return True
 
-    def page(self, writer, rows):
+    def page(self, writer, rows, view=None):
         listed = []
         for (table, key), (value, version) in rows:
             row = {"TableName": table, "part": "", "Key": key, "RecordVersion": version}
-            row.update({"Deleted": True} if value is None else {"Value": value})
+            row.update({"Deleted": True} if value is None else {"Value": view(table, key, value) if view else value})
             listed.append(row)
         body = {"Rows": listed, "HasMore": False, "RecordVersion": self.version,
                 "ServerTimeMs": int(time.monotonic() * 1000)}
         return self.answer(writer, 200, json.dumps(body).encode())
 
-    async def handle(self, request, writer):
+    async def handle(self, request, writer, view=None):
         if self.is_away:
             return self.answer(writer, 503)
         await asyncio.sleep(0.004)
@@ -202,14 +202,14 @@
             table, low, high = (request.query.get(name) for name in ("TableName", "From", "To"))
             rows = [it for it in self.rows.items() if it[0][0] == table and it[1][0] is not None]
             rows = [it for it in rows if (low is None or it[0][1] >= low) and (high is None or it[0][1] < high)]
-            return self.page(writer, sorted(rows))
+            return self.page(writer, sorted(rows), view)
         if request.path == "/persimmoncroft/rows-feed":
-            return await self.feed(request, writer)
+            return await self.feed(request, writer, view)
         if request.path == "/persimmoncroft/rows-tx":
             return self.commit(json.loads(request.body), writer)
         return self.answer(writer, 404)
 
-    async def feed(self, request, writer):
+    async def feed(self, request, writer, view=None):
         table, after = request.query["TableName"], int(request.query["after"])
         until = time.monotonic() + int(request.query["PollTimeoutMs"]) / 1000
         while True:
@@ -220,7 +220,7 @@
             rows = [it for it in self.rows.items() if it[0][0] == table and it[1][1] > after]
             left = until - time.monotonic()
             if rows or left <= 0:
-                return self.page(writer, sorted(rows, key=lambda it: it[1][1]))
+                return self.page(writer, sorted(rows, key=lambda it: it[1][1]), view)
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
@@ -240,6 +240,103 @@
         return self.page(writer, [])
 
 
+class Proxy:
+    """A link to one address: `passes`, `hangs` (bytes and new connections get no answer), `resets` (connections are reset, new
+    ones too), `refuses` (new ones are refused, open ones live on)."""
+
+    def __init__(self, target):
+        self.target, self.mode, self.server, self.port = target, "passes", None, None
+        self.writers = set()
+        self.may_pass = asyncio.Event()
+        self.may_pass.set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.connected, HOST, self.port or 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def set(self, mode):
+        before, self.mode = self.mode, mode
+        if mode == "hangs":
+            self.may_pass.clear()
+        else:
+            self.may_pass.set()
+        if mode == "resets":
+            self.reset_all()
+        if mode == "refuses":
+            self.server.close()
+        elif before == "refuses":
+            await self.start()
+
+    def reset_all(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def connected(self, reader, writer):
+        if self.mode == "resets":
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
+        other = None
+        try:
+            await self.may_pass.wait()
+            host, _, port = self.target.partition(":")
+            back, other = await asyncio.open_connection(host, int(port))
+            self.writers.add(other)
+            await asyncio.gather(self.copy(reader, other), self.copy(back, writer))
+        except (ConnectionError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for it in (writer, other):
+                if it:
+                    self.writers.discard(it)
+                    it.transport.abort()
+
+    async def copy(self, source, target):
+        while data := await source.read(1 << 16):
+            await self.may_pass.wait()
+            target.write(data)
+            await target.drain()
+        # The end goes on as it came; half-closed connections are not kept.
+        target.close()
+        raise ConnectionResetError
+
+
+class Gateway:
+    """The store as one machine sees it: the addresses of replicas are those of this machine's own links to them."""
+
+    def __init__(self, store):
+        self.store, self.links = store, {}
+        self.server = Server(self.handle)
+
+    async def start(self, replicas):
+        for replica in replicas:
+            await self.link(replica)
+        await self.server.start()
+        return self
+
+    async def link(self, replica):
+        self.links[replica.id] = await Proxy(replica.address).start()
+
+    @property
+    def address(self):
+        return f"{HOST}:{self.server.port}"
+
+    def view(self, table, key, value):
+        if table != "servers" or key not in self.links:
+            return value
+        entry = json.loads(base64.b64decode(value))
+        entry["Address"] = f"{HOST}:{self.links[key].port}"
+        return base64.b64encode(json.dumps(entry).encode()).decode()
+
+    async def handle(self, request, writer):
+        return await self.store.handle(request, writer, self.view)
+
+    async def set_links(self, mode):
+        for link in self.links.values():
+            await link.set(mode)
+
+
 class Replica:
     """A sound replica of an application service or of a service of models."""
 
