--- a/review/stand3.py
+++ b/review/stand3.py
@@ -354,6 +354,7 @@
         self.entry_state = "ready"
         self.beats = True
         self.extra = {}
+        self.busy, self.load_s, self.tasks = False, 0.4, []
         self.events, self.gap_s = 40, 0.1
         self.arrivals = []
         self.orders = []
@@ -412,18 +413,15 @@
             writer.write(head(421, headers | {"X-Not-Executed": "1"}, 0))
             return keeps
         if request.path == "/persimmoncroft/report":
-            body = json.dumps({"Phase": "unified", "Models": self.listed(), "Busy": False, "Sequence": self.sequence,
+            body = json.dumps({"Phase": "unified", "Models": self.listed(), "Busy": self.busy, "Sequence": self.sequence,
                                "Queued": 0, "Running": len(self.running), "KvInUse": 0, "KvTotal": 90000, "Capabilities": 0,
                                "born": self.born}).encode()
             del headers["X-Request-Id"]
             writer.write(head(200, headers, len(body)) + body)
             return keeps
         if request.path == "/persimmoncroft/order":
-            order = json.loads(request.body)
-            self.orders.append((self.record.now(), order))
-            self.record.line(f"order at {self.id}: {order}")
             del headers["X-Request-Id"]
-            writer.write(head(200, headers, 0))
+            writer.write(head(self.take_order(json.loads(request.body)), headers, 0))
             return keeps
         if request.path == "/health":
             del headers["X-Request-Id"]
@@ -437,6 +435,38 @@
         finally:
             self.running.remove(request.headers["x-request-id"])
 
+    def take_order(self, order):
+        """Judges an order and carries it out; returns the status."""
+        status = self.judge(order)
+        self.orders.append((self.record.now(), order, status))
+        self.record.line(f"order at {self.id}: {order['Operation']} {order['Model']} Expected {order.get('Expected')} "
+                         f"Holder {order['Holder']} FencingToken {order['FencingToken']}: {status}")
+        return status
+
+    def judge(self, order):
+        model, loads = order["Model"], order["Operation"] == "loading"
+        if "Adapter" in order:
+            return 400
+        if self.busy or order.get("Expected", self.sequence) != self.sequence:
+            return 409
+        if loads == (model in self.models):
+            return 200
+        self.sequence += 1
+        self.busy = True
+
+        async def carry_out():
+            await asyncio.sleep(self.load_s)
+            if loads:
+                self.models = self.models + [model]
+            else:
+                self.models = [it for it in self.models if it != model]
+            self.busy = False
+            if self.beats and not self.store.is_away:
+                self.write_entry()
+
+        self.tasks = [it for it in self.tasks if not it.done()] + [asyncio.create_task(carry_out())]
+        return 202
+
     async def run(self, request, writer):
         if self.models is not None:
             return await self.stream(request, writer)
@@ -527,6 +557,7 @@
 class Answer:
     def __init__(self, status=None, headers=None, body=b"", whole=False):
         self.status, self.headers, self.body, self.whole = status, headers or {}, body, whole
+        self.connected = False
 
 
 async def call(port, method, path, request_id, headers=None, body=b"{}", timeout=6.0, on_head=None, on_data=None):
@@ -536,6 +567,7 @@
     try:
         async with asyncio.timeout(timeout):
             reader, writer = await asyncio.open_connection(HOST, port, limit=1 << 22)
+            answer.connected = True
             sent = {"Host": "shop.example", "X-Request-Id": request_id, "X-Deadline-Ms": "5000",
                     "Authorization": "Token key-1"}
             sent.update(headers or {})
