--- a/review/stand3.py
+++ b/review/stand3.py
@@ -620,10 +620,13 @@
     def __init__(self, name, zone, store_address, folder, record, cores=0.25):
         self.name, self.zone, self.folder, self.record = name, zone, folder, record
         self.store_address, self.cores = store_address, cores
-        self.port, self.ready, self.peers, self.metrics = (free_port() for _ in range(4))
-        self.gossip = free_port((socket.SOCK_STREAM, socket.SOCK_DGRAM))
         self.process = None
         self.out = None
+        self.pick_ports()
+
+    def pick_ports(self):
+        self.port, self.ready, self.peers, self.metrics = (free_port() for _ in range(4))
+        self.gossip = free_port((socket.SOCK_STREAM, socket.SOCK_DGRAM))
 
     def settings(self):
         return f"""[daemon]
@@ -663,7 +666,7 @@
         with open(path, "w") as file:
             file.write(self.settings())
         self.out = open(os.path.join(self.folder, f"{self.name}.log"), "a")
-        env = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/tmp"),
+        env = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
                "PERSIMMONCROFT_NODE_FILE": path}
         self.process = await asyncio.create_subprocess_exec(PROGRAM, cwd=ROOT, env=env, stdout=self.out, stderr=self.out)
         self.record.line(f"{self.name} started, process {self.process.pid}")
@@ -675,6 +678,11 @@
     async def wait_ready(self, within=20.0):
         until = time.monotonic() + within
         while time.monotonic() < until:
+            if self.process.returncode is not None:
+                # Another program has taken one of the ports since they were picked.
+                self.record.line(f"{self.name} ended with {self.process.returncode}; other ports are picked")
+                self.pick_ports()
+                await self.start()
             if await self.is_ready():
                 self.record.line(f"{self.name} is ready")
                 return
